--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -53,6 +53,10 @@
             return;
         };
         let request = current.request;
+        if !self.catalogue.rates.contains_key(workspace) {
+            // Only a caller of a public route belongs to no workspace, and no rate holds for it.
+            return self.token_taken(now, caller, actions);
+        }
         let deadline = current.started_at + current.route.statement_timeout;
         self.admitting.insert(request, caller);
         let event = RatesEvent::Admit {
@@ -76,14 +80,15 @@
     }
 
     fn admitted(&mut self, now: MonoTime, request: RequestId, actions: &mut Vec<PoolAction>) {
-        let Some(caller) = self.admitting.remove(&request) else {
-            return;
-        };
-        let current = self
-            .sessions
-            .get_mut(&caller)
-            .and_then(|session| session.current.as_mut());
-        let Some(current) = current.filter(|current| current.request == request) else {
+        if let Some(caller) = self.admitting.remove(&request) {
+            self.token_taken(now, caller, actions);
+        }
+    }
+
+    /// Goes on with the statement of a caller that may be served.
+    fn token_taken(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
+        let session = self.sessions.get_mut(&caller);
+        let Some(current) = session.and_then(|session| session.current.as_mut()) else {
             return;
         };
         if let Work::Begin { read_only } = current.work {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -432,9 +432,9 @@
                     incarnation,
                     address,
                 };
-                self.roster.set(vm, entry)
+                self.roster.set(vm, entry, change.revision)
             }
-            (Some(vm), None) => self.roster.remove(&vm),
+            (Some(vm), None) => self.roster.remove(&vm, change.revision),
             (_, Some(ObjectValue::Unusable(error))) => {
                 report_unusable(ObjectKind::Fleet, change.name, error, actions);
                 false
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -62,21 +62,17 @@
 }
 
 impl Roster {
-    /// Records a VM; returns whether the roster has changed.
-    pub(crate) fn set(&mut self, vm: VmId, entry: RosterVm) -> bool {
-        if self.vms.get(&vm) == Some(&entry) {
-            return false;
-        }
-        self.vms.insert(vm, entry);
-        self.version += 1;
-        true
+    /// Records a VM; returns whether the roster has changed. The revision of the store is the
+    /// version of the roster, so that VMs can compare theirs.
+    pub(crate) fn set(&mut self, vm: VmId, entry: RosterVm, revision: u64) -> bool {
+        self.version = self.version.max(revision);
+        self.vms.insert(vm, entry.clone()) != Some(entry)
     }
 
     /// Removes a VM; returns whether the roster has changed.
-    pub(crate) fn remove(&mut self, vm: &VmId) -> bool {
-        let removed = self.vms.remove(vm).is_some();
-        self.version += u64::from(removed);
-        removed
+    pub(crate) fn remove(&mut self, vm: &VmId, revision: u64) -> bool {
+        self.version = self.version.max(revision);
+        self.vms.remove(vm).is_some()
     }
 
     pub(crate) fn contains(&self, vm: &VmId) -> bool {
