Retry the first statement of a transaction elsewhere; keep reads off the primary

Reads went to a free connection of the primary rather than open one to a replica, so primaries were 1.7 times as busy as the mean.

--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -499,6 +499,7 @@
                     None => is_write,
                     Some(open) if is_commit => open.has_written,
                     Some(open) => {
+                        open.has_results = true;
                         open.has_written |= is_write;
                         false
                     }
@@ -573,6 +574,11 @@
             };
             return self.fail_current(now, caller, error, cause, actions);
         };
+        if has_not_run && !transaction.has_results {
+            transaction.link = None;
+            self.roll_back_link(now, id, actions);
+            return self.not_run(now, caller, member, error.fault, actions);
+        }
         if state == TransactionState::Open && error.fault == MemberFault::Failed {
             let cause = "member failed in the transaction";
             return self.fail_current(now, caller, CallerError::Failed, cause, actions);
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -37,8 +37,8 @@
 /// What another data centre costs: a round trip.
 const DISTANCE_COST: Duration = Duration::from_millis(3);
 
-/// What a read costs more at the primary, which alone can run writes.
-const PRIMARY_COST: Duration = Duration::from_millis(10);
+/// What a read costs more at the primary, which alone can run writes: about two statements.
+const PRIMARY_COST: Duration = Duration::from_millis(40);
 
 /// Part of a staleness bound that is left for the way to the member and for clock granularity.
 const STALENESS_MARGIN: Duration = Duration::from_millis(100);
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -343,6 +343,7 @@
             read_only,
             has_failed: false,
             link: None,
+            has_results: false,
             has_written: false,
             used_at: now,
         });
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -34,6 +34,8 @@
     pub(crate) has_failed: bool,
     /// The connection on which the transaction runs, from its first statement on.
     pub(crate) link: Option<ConnectionId>,
+    /// Whether the caller has got a result; until then the transaction can start anew elsewhere.
+    pub(crate) has_results: bool,
     pub(crate) has_written: bool,
     pub(crate) used_at: MonoTime,
 }
--- /dev/null
+++ b/crates/pool/tests/statements.rs
@@ -0,0 +1,214 @@
+//! Statements of callers: where they run, and what callers are told when members refuse or vanish.
+
+mod support;
+
+use lycheedoor_pool::CallerError;
+use lycheedoor_pool::CallerReply;
+use lycheedoor_pool::MemberCommand;
+use lycheedoor_pool::MemberFault;
+use lycheedoor_pool::PoolEvent;
+use lycheedoor_pool::TransactionState;
+use support::PRIMARY;
+use support::Rig;
+use support::position;
+
+fn is_begin(command: &MemberCommand) -> bool {
+    matches!(command, MemberCommand::Begin { read_only: false })
+}
+
+fn error_of(reply: Option<&CallerReply>) -> Option<CallerError> {
+    match reply {
+        Some(CallerReply::Failed { error, .. }) => Some(*error),
+        _ => None,
+    }
+}
+
+fn is_done(reply: Option<&CallerReply>) -> bool {
+    matches!(reply, Some(CallerReply::Done { .. }))
+}
+
+/// Guards against a read on a primary route by a member that has lost the lead: it answers plain
+/// reads, so the read must not even be sent before the member has confirmed its lead.
+#[test]
+fn read_on_a_primary_route_waits_for_the_lead() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    let (link, begin) = rig.take_command(PRIMARY).unwrap();
+    assert!(is_begin(&begin));
+    assert_eq!(rig.take_command(PRIMARY), None);
+    rig.refuse(link, MemberFault::ReadOnly, TransactionState::Idle);
+    assert_eq!(rig.take_command(PRIMARY), None, "read was sent to a member without the lead");
+    assert_eq!(rig.last_reply(caller), None, "the read still has time");
+}
+
+#[test]
+fn read_on_a_primary_route_runs_inside_its_own_transaction() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    let (link, _) = rig.take_command(PRIMARY).unwrap();
+    rig.succeed(link, TransactionState::Open, 5);
+    let (_, read) = rig.take_command(PRIMARY).unwrap();
+    assert!(matches!(read, MemberCommand::Forward { after: None, .. }));
+    let (_, end) = rig.take_command(PRIMARY).unwrap();
+    assert_eq!(end, MemberCommand::Rollback);
+    rig.succeed(link, TransactionState::Open, 5);
+    assert!(is_done(rig.last_reply(caller)));
+}
+
+/// Guards against stale reads: a replica must check the position that the primary had.
+#[test]
+fn bounded_read_demands_a_recent_position_of_the_primary() {
+    let mut rig = Rig::new();
+    rig.sample(41);
+    let caller = rig.session("bounded-db");
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    let command = ["m2", "m3"].iter().find_map(|member| rig.take_command(member));
+    let Some((_, MemberCommand::Forward { after, .. })) = command else {
+        panic!("read was not sent to a replica: {command:?}");
+    };
+    assert_eq!(after, Some(position(41)));
+}
+
+/// Guards against trusting a position that is older than the route allows.
+#[test]
+fn bounded_read_without_a_recent_position_goes_to_the_primary() {
+    let mut rig = Rig::new();
+    rig.sample(41);
+    rig.advance(1_450);
+    let caller = rig.session("bounded-db");
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    assert!(is_begin(&rig.take_command(PRIMARY).unwrap().1));
+}
+
+#[test]
+fn session_read_demands_the_own_commit() {
+    let mut rig = Rig::new();
+    let caller = rig.session("session-db");
+    rig.query(caller, "WRITE x 1");
+    rig.serve(77);
+    assert!(is_done(rig.last_reply(caller)));
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    let command = ["m2", "m3", PRIMARY].iter().find_map(|member| rig.take_command(member));
+    let Some((_, MemberCommand::Forward { after, .. })) = command else {
+        panic!("read was not sent: {command:?}");
+    };
+    assert_eq!(after, Some(position(77)));
+}
+
+/// Guards against a write that takes effect twice: once it was sent, only its answer can tell.
+#[test]
+fn write_whose_connection_is_lost_has_an_unknown_outcome_and_is_not_repeated() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    rig.query(caller, "WRITE x 1");
+    rig.accept_links();
+    let (link, _) = rig.take_command(PRIMARY).unwrap();
+    rig.event(PoolEvent::LinkClosed { link });
+    assert_eq!(error_of(rig.last_reply(caller)), Some(CallerError::InDoubt));
+    rig.advance(300);
+    rig.accept_links();
+    assert_eq!(rig.take_command(PRIMARY), None);
+}
+
+/// Guards against giving up a write that was never sent: the connection was refused before.
+#[test]
+fn write_that_was_not_sent_is_tried_again() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    rig.query(caller, "WRITE x 1");
+    let link = *rig.links.keys().next().unwrap();
+    rig.event(PoolEvent::LinkClosed { link });
+    rig.advance(200);
+    rig.serve(3);
+    assert!(is_done(rig.last_reply(caller)));
+}
+
+#[test]
+fn read_whose_connection_is_lost_runs_at_another_member() {
+    let mut rig = Rig::new();
+    rig.sample(1);
+    let caller = rig.session("bounded-db");
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    let (link, _) = ["m2", "m3"].iter().find_map(|member| rig.take_command(member)).unwrap();
+    let first = rig.links.get(&link).unwrap().member.clone();
+    rig.event(PoolEvent::LinkClosed { link });
+    rig.accept_links();
+    let mut others = ["m2", "m3", PRIMARY].into_iter().filter(|member| *member != first);
+    assert!(others.any(|member| rig.take_command(member).is_some()));
+}
+
+/// Guards against an aborted transaction where only its first statement was refused unrun: nobody
+/// has seen a result of it, so another member can run it.
+#[test]
+fn first_statement_of_a_transaction_is_tried_at_another_member() {
+    let mut rig = Rig::new();
+    rig.sample(1);
+    let caller = rig.session("bounded-db");
+    rig.query(caller, "BEGIN READ");
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    let (link, begin) = ["m2", "m3"].iter().find_map(|member| rig.take_command(member)).unwrap();
+    assert_eq!(begin, MemberCommand::Begin { read_only: true });
+    rig.succeed(link, TransactionState::Open, 0);
+    rig.links.get_mut(&link).unwrap().sent.remove(0);
+    rig.refuse(link, MemberFault::Lagging, TransactionState::Failed);
+    rig.serve(1);
+    assert!(is_done(rig.last_reply(caller)), "{:?}", rig.last_reply(caller));
+}
+
+/// Guards against session values and prepared names of one caller reaching another.
+#[test]
+fn connection_is_reset_before_another_session_uses_it() {
+    let mut rig = Rig::new();
+    let first = rig.session("primary-db");
+    rig.query(first, "SET zone north");
+    rig.query(first, "WRITE x 1");
+    rig.serve(1);
+    let second = rig.session("primary-db");
+    rig.query(second, "WRITE x 2");
+    let (_, command) = rig.take_command(PRIMARY).unwrap();
+    assert_eq!(command, MemberCommand::Reset);
+}
+
+/// Guards against a promise that is not true: with the commit sent, the outcome is unknown.
+#[test]
+fn commit_whose_connection_is_lost_has_an_unknown_outcome() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    rig.query(caller, "BEGIN");
+    rig.query(caller, "WRITE x 1");
+    rig.accept_links();
+    let (link, _) = rig.take_command(PRIMARY).unwrap();
+    rig.succeed(link, TransactionState::Open, 1);
+    let _ = rig.take_command(PRIMARY).unwrap();
+    rig.succeed(link, TransactionState::Open, 1);
+    rig.query(caller, "COMMIT");
+    let _ = rig.take_command(PRIMARY).unwrap();
+    rig.event(PoolEvent::LinkClosed { link });
+    assert_eq!(error_of(rig.last_reply(caller)), Some(CallerError::InDoubt));
+}
+
+/// Guards against a transaction that goes on at a second connection after the first was lost.
+#[test]
+fn transaction_whose_connection_is_lost_is_aborted() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    rig.query(caller, "BEGIN");
+    rig.query(caller, "WRITE x 1");
+    rig.accept_links();
+    let (link, _) = rig.take_command(PRIMARY).unwrap();
+    rig.succeed(link, TransactionState::Open, 1);
+    let _ = rig.take_command(PRIMARY).unwrap();
+    rig.succeed(link, TransactionState::Open, 1);
+    rig.event(PoolEvent::LinkClosed { link });
+    rig.query(caller, "COMMIT");
+    assert_eq!(error_of(rig.last_reply(caller)), Some(CallerError::Aborted));
+}
--- /dev/null
+++ b/crates/pool/tests/support/mod.rs
@@ -0,0 +1,401 @@
+//! A pool with hand-played callers, members, store and peers, in virtual time.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "clippy.toml allows it only inside test functions"
+)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::ConnectionId;
+use lycheedoor_core::types::DataCentreId;
+use lycheedoor_core::types::GroupId;
+use lycheedoor_core::types::Incarnation;
+use lycheedoor_core::types::MemberId;
+use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::Position;
+use lycheedoor_core::types::Term;
+use lycheedoor_core::types::VmId;
+use lycheedoor_core::types::WorkspaceId;
+use lycheedoor_pool::Access;
+use lycheedoor_pool::CallerReply;
+use lycheedoor_pool::CallerRequest;
+use lycheedoor_pool::Catalogue;
+use lycheedoor_pool::Consistency;
+use lycheedoor_pool::FleetRecord;
+use lycheedoor_pool::GroupRule;
+use lycheedoor_pool::MemberAnswer;
+use lycheedoor_pool::MemberCommand;
+use lycheedoor_pool::MemberEntry;
+use lycheedoor_pool::MemberError;
+use lycheedoor_pool::MemberFault;
+use lycheedoor_pool::ObjectAnswer;
+use lycheedoor_pool::ObjectCall;
+use lycheedoor_pool::ObjectChange;
+use lycheedoor_pool::ObjectKind;
+use lycheedoor_pool::ObjectValue;
+use lycheedoor_pool::Pool;
+use lycheedoor_pool::PoolAction;
+use lycheedoor_pool::PoolEvent;
+use lycheedoor_pool::PoolSettings;
+use lycheedoor_pool::RateRule;
+use lycheedoor_pool::RouteRule;
+use lycheedoor_pool::Statement;
+use lycheedoor_pool::TransactionState;
+
+pub(crate) const GROUP: &str = "ledger";
+pub(crate) const PRIMARY: &str = "m1";
+pub(crate) const KEY: &str = "key-of-acme";
+
+/// A link as the rig sees it.
+pub(crate) struct LinkState {
+    pub(crate) member: String,
+    pub(crate) workspace: String,
+    pub(crate) sent: Vec<MemberCommand>,
+    pub(crate) is_open: bool,
+}
+
+pub(crate) struct Rig {
+    pub(crate) pool: Pool,
+    pub(crate) now: MonoTime,
+    pub(crate) links: BTreeMap<ConnectionId, LinkState>,
+    pub(crate) replies: Vec<(CallerId, CallerReply)>,
+    /// Everything else that the pool has done, in order.
+    pub(crate) others: Vec<PoolAction>,
+    pub(crate) revision: u64,
+    next_caller: u64,
+}
+
+pub(crate) fn position(number: u64) -> Position {
+    Position::new(Term(1), number)
+}
+
+pub(crate) fn route(consistency: Consistency) -> Rc<RouteRule> {
+    Rc::new(RouteRule {
+        group: GroupId::from(GROUP),
+        consistency,
+        max_staleness: Duration::from_millis(1_500),
+        statement_timeout: Duration::from_millis(1_000),
+        target_latency: Duration::from_millis(200),
+        priority: 1,
+        is_public: false,
+    })
+}
+
+pub(crate) fn catalogue(version: u64) -> Catalogue {
+    let routes = [
+        ("primary-db", Consistency::Primary),
+        ("bounded-db", Consistency::Bounded),
+        ("session-db", Consistency::Session),
+    ];
+    let rate = RateRule {
+        per_s: 1_000,
+        burst: 1_000,
+    };
+    let workspaces = ["acme", "brix"].map(WorkspaceId::from);
+    Catalogue {
+        version,
+        routes: routes.map(|(name, kind)| (name.to_owned(), route(kind))).into(),
+        groups: [(GroupId::from(GROUP), group_rule())].into(),
+        rates: workspaces.clone().map(|workspace| (workspace, rate)).into(),
+        keys: workspaces.map(|workspace| (format!("key-of-{workspace}"), workspace)).into(),
+        transaction_idle_limit: Some(Duration::from_secs(3)),
+    }
+}
+
+pub(crate) fn group_rule() -> GroupRule {
+    GroupRule {
+        max_connections: 21,
+        sync_replicas: 0,
+        cold_per_s: None,
+    }
+}
+
+pub(crate) fn member(id: &str, is_primary: bool) -> MemberEntry {
+    let number: u16 = id.trim_start_matches('m').parse().unwrap();
+    MemberEntry {
+        id: MemberId::from(id),
+        group: GroupId::from(GROUP),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
+        data_centre: DataCentreId::from("north"),
+        slots: 3,
+        is_draining: false,
+        claims_primary: is_primary,
+        cold_left: Duration::ZERO,
+        started_unix_ms: 1,
+    }
+}
+
+impl Rig {
+    /// A pool that is ready, alone in the fleet, with a primary and two replicas.
+    pub(crate) fn new() -> Self {
+        Self::with_peers(&[])
+    }
+
+    pub(crate) fn with_peers(peers: &[&str]) -> Self {
+        Self::start(peers, catalogue(1))
+    }
+
+    pub(crate) fn start(peers: &[&str], catalogue: Catalogue) -> Self {
+        let settings = PoolSettings {
+            vm: VmId::from("vm-1"),
+            incarnation: Incarnation(7),
+            data_centre: DataCentreId::from("north"),
+            peer_address: peer_address(),
+            stop_grace: Duration::from_secs(6),
+            key_life: None,
+        };
+        let mut rig = Self {
+            pool: Pool::new(settings),
+            now: MonoTime::from_millis(1_000),
+            links: BTreeMap::new(),
+            replies: Vec::new(),
+            others: Vec::new(),
+            revision: 10,
+            next_caller: 0,
+        };
+        rig.event(PoolEvent::DeadlineReached);
+        let value = ObjectValue::Catalogue(Rc::new(catalogue));
+        rig.page(ObjectKind::Configuration, vec![("main".to_owned(), value)]);
+        let members = [member(PRIMARY, true), member("m2", false), member("m3", false)];
+        let members = members.map(|entry| (entry.id.to_string(), ObjectValue::Member(entry)));
+        rig.page(ObjectKind::Members, members.into());
+        rig.page(ObjectKind::Evacuations, Vec::new());
+        let names = std::iter::once("vm-1").chain(peers.iter().copied());
+        let records = names.map(|name| {
+            let record = FleetRecord::Vm {
+                incarnation: Incarnation(7),
+                address: peer_address(),
+            };
+            (format!("vm.{name}"), ObjectValue::Fleet(record))
+        });
+        rig.page(ObjectKind::Fleet, records.collect());
+        rig.advance(500);
+        assert!(rig.others.contains(&PoolAction::SetReady(true)));
+        rig.others.clear();
+        rig
+    }
+
+    fn page(&mut self, kind: ObjectKind, objects: Vec<(String, ObjectValue)>) {
+        let mut changes = Vec::new();
+        for (name, value) in objects {
+            self.revision += 1;
+            changes.push(ObjectChange {
+                name,
+                revision: self.revision,
+                value: Some(value),
+            });
+        }
+        let answer = ObjectAnswer::Page {
+            objects: changes,
+            next_after: None,
+            revision: self.revision,
+        };
+        self.event(PoolEvent::ObjectsRead { kind, answer });
+    }
+
+    /// Reports a change of an object; `None` removes it.
+    pub(crate) fn change(&mut self, kind: ObjectKind, name: &str, value: Option<ObjectValue>) {
+        self.revision += 1;
+        let change = ObjectChange {
+            name: name.to_owned(),
+            revision: self.revision,
+            value,
+        };
+        let answer = ObjectAnswer::Events {
+            changes: vec![change],
+            revision: self.revision,
+        };
+        self.event(PoolEvent::ObjectsRead { kind, answer });
+    }
+
+    pub(crate) fn event(&mut self, event: PoolEvent) {
+        let mut actions = Vec::new();
+        self.pool.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.take(action);
+        }
+    }
+
+    fn take(&mut self, action: PoolAction) {
+        match action {
+            PoolAction::OpenLink {
+                link,
+                member,
+                workspace,
+                ..
+            } => {
+                let state = LinkState {
+                    member: member.to_string(),
+                    workspace: workspace.to_string(),
+                    sent: Vec::new(),
+                    is_open: false,
+                };
+                self.links.insert(link, state);
+            }
+            PoolAction::Send { link, command } => {
+                self.links.get_mut(&link).unwrap().sent.push(command);
+            }
+            PoolAction::CloseLink { link } => {
+                self.links.remove(&link);
+            }
+            PoolAction::Reply { caller, reply } => self.replies.push((caller, reply)),
+            other => self.others.push(other),
+        }
+    }
+
+    /// Lets time pass in steps of 5 ms.
+    pub(crate) fn advance(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now += Duration::from_millis(5);
+            if self.pool.next_deadline() <= self.now {
+                self.event(PoolEvent::DeadlineReached);
+            }
+        }
+    }
+
+    /// Opens a session.
+    pub(crate) fn session(&mut self, database: &str) -> CallerId {
+        self.next_caller += 1;
+        let caller = CallerId(self.next_caller);
+        self.event(PoolEvent::CallerConnected { caller });
+        let request = CallerRequest::Start {
+            database: database.to_owned(),
+            key: KEY.to_owned(),
+        };
+        self.event(PoolEvent::CallerSent { caller, request });
+        assert_eq!(self.replies.pop(), Some((caller, CallerReply::Started)));
+        caller
+    }
+
+    pub(crate) fn query(&mut self, caller: CallerId, text: &str) {
+        let words: Vec<&str> = text.split(' ').collect();
+        let statement = match *words.first().unwrap() {
+            "BEGIN" => Statement::Begin {
+                read_only: words.len() > 1,
+            },
+            "COMMIT" => Statement::Commit,
+            "ROLLBACK" => Statement::Rollback,
+            "READ" => Statement::Run(Access::Read),
+            "WRITE" => Statement::Run(Access::Write),
+            "SET" => Statement::SetValue {
+                name: words[1].to_owned(),
+                value: words[2].to_owned(),
+            },
+            "PREPARE" => Statement::Prepare {
+                name: words[1].to_owned(),
+                access: Access::Read,
+                shape: words[2].to_owned(),
+            },
+            "EXEC" => Statement::Execute {
+                name: words[1].to_owned(),
+                arguments: words[2].to_owned(),
+            },
+            word => panic!("unknown statement {word}"),
+        };
+        let request = CallerRequest::Query {
+            id: format!("id-{text}"),
+            text: text.to_owned(),
+            statement: Some(statement),
+        };
+        self.event(PoolEvent::CallerSent { caller, request });
+    }
+
+    /// Accepts connections that are being opened.
+    pub(crate) fn accept_links(&mut self) {
+        let opening: Vec<_> = self.links.iter().filter(|(_, link)| !link.is_open).collect();
+        let opening: Vec<ConnectionId> = opening.into_iter().map(|(id, _)| *id).collect();
+        for link in opening {
+            self.links.get_mut(&link).unwrap().is_open = true;
+            let position = Some(position(0));
+            self.event(PoolEvent::LinkReady { link, position });
+        }
+    }
+
+    /// Takes the oldest unanswered command of a member's connections.
+    pub(crate) fn take_command(&mut self, member: &str) -> Option<(ConnectionId, MemberCommand)> {
+        let mut links = self.links.iter_mut().filter(|(_, link)| link.member == member);
+        let (id, link) = links.find(|(_, link)| !link.sent.is_empty())?;
+        Some((*id, link.sent.remove(0)))
+    }
+
+    /// Answers a command with success.
+    pub(crate) fn succeed(&mut self, link: ConnectionId, state: TransactionState, number: u64) {
+        self.answer(link, Ok("signature".to_owned()), state, number);
+    }
+
+    pub(crate) fn refuse(&mut self, link: ConnectionId, fault: MemberFault, state: TransactionState) {
+        let text = "refused".to_owned();
+        self.answer(link, Err(MemberError { fault, text }), state, 0);
+    }
+
+    fn answer(
+        &mut self,
+        link: ConnectionId,
+        result: Result<String, MemberError>,
+        state: TransactionState,
+        number: u64,
+    ) {
+        let answer = MemberAnswer {
+            rows: Bytes::from_static(b"ROW x\r\n"),
+            result,
+            state,
+            position: Some(position(number)),
+            status: None,
+        };
+        self.event(PoolEvent::LinkAnswered { link, answer });
+    }
+
+    /// Answers all commands of all members with success until none is left.
+    pub(crate) fn serve(&mut self, number: u64) {
+        for _ in 0..100 {
+            self.accept_links();
+            let next = self.links.iter().find(|(_, link)| !link.sent.is_empty());
+            let Some(link) = next.map(|(id, _)| *id) else {
+                return;
+            };
+            let command = self.links.get_mut(&link).unwrap().sent.remove(0);
+            let state = match command {
+                MemberCommand::Begin { .. } => TransactionState::Open,
+                _ => TransactionState::Idle,
+            };
+            self.succeed(link, state, number);
+        }
+        panic!("members are never done");
+    }
+
+    /// Opens a transaction at the primary's expense, so that the pool knows a recent position.
+    pub(crate) fn sample(&mut self, number: u64) {
+        let caller = self.session("primary-db");
+        self.query(caller, "READ x");
+        self.serve(number);
+        self.replies.clear();
+        self.event(PoolEvent::CallerClosed { caller });
+    }
+
+    pub(crate) fn last_reply(&self, caller: CallerId) -> Option<&CallerReply> {
+        let own = self.replies.iter().rev().find(|(receiver, _)| *receiver == caller);
+        own.map(|(_, reply)| reply)
+    }
+
+    pub(crate) fn reads(&self, kind: ObjectKind) -> usize {
+        let of_kind = |action: &&PoolAction| {
+            matches!(action, PoolAction::ReadObjects(
+                ObjectCall::List { kind: called, .. } | ObjectCall::Watch { kind: called, .. }
+            ) if *called == kind)
+        };
+        self.others.iter().filter(of_kind).count()
+    }
+}
+
+fn peer_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_560))
+}
