Borrow connections of a member while all of the own part are in use

A VM now opens up to twice its part and gives what is beyond it back when free; a member that has none left answers so, which costs a round trip.

--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -200,8 +200,14 @@
             }
         }
         let group = self.links.get(&id).map(|link| link.group.clone());
-        if let Some(group) = group {
-            self.dispatch_group(now, &group, actions);
+        let Some(group) = group else {
+            return;
+        };
+        self.dispatch_group(now, &group, actions);
+        let budget = self.link_budget(&group);
+        let is_borrowed = self.member_of(id).is_some_and(|member| member.links > budget);
+        if is_borrowed && self.links.get(&id).is_some_and(Link::is_free) {
+            self.close_link(id, actions);
         }
     }
 
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -43,6 +43,11 @@
 /// Part of a staleness bound that is left for the way to the member and for clock granularity.
 const STALENESS_MARGIN: Duration = Duration::from_millis(100);
 
+/// How many times its part of a member's connections a VM may open while all of them are in use.
+/// Open transactions hold connections while their callers pause, unevenly over the VMs; beyond
+/// its part a VM gives each connection back as soon as it is free.
+const BORROWED_BUDGETS: u32 = 2;
+
 /// What a statement needs of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Need {
@@ -210,18 +215,19 @@
         if let Some(link) = own.max_by_key(|link| link.used_at) {
             return Some(Choice::Use(link.id));
         }
-        let replaces = if member.links < self.link_budget(group) {
-            None
-        } else {
-            let oldest = free.max_by_key(|link| Reverse(link.used_at))?;
-            Some(oldest.id)
+        let budget = self.link_budget(group);
+        let oldest = free.max_by_key(|link| Reverse(link.used_at));
+        let replaces = match oldest {
+            Some(oldest) if member.links >= budget => Some(oldest.id),
+            None if member.links >= budget * BORROWED_BUDGETS => return None,
+            _ => None,
         };
         let member = id.clone();
         Some(Choice::Open { member, replaces })
     }
 
     /// Returns this VM's part of the connections that a member of the group takes.
-    fn link_budget(&self, group: &GroupId) -> u32 {
+    pub(crate) fn link_budget(&self, group: &GroupId) -> u32 {
         let rule = self.catalogue.groups.get(group);
         let limit = rule.map_or(1, |rule| rule.max_connections);
         let vms = u32::try_from(self.roster.len()).unwrap_or(u32::MAX);
--- /dev/null
+++ b/crates/pool/tests/connections.rs
@@ -0,0 +1,55 @@
+//! Connections to members: how many a VM opens, for whom, and when it gives them back.
+
+mod support;
+
+use lycheedoor_core::types::CallerId;
+use lycheedoor_pool::MemberCommand;
+use lycheedoor_pool::TransactionState;
+use support::PRIMARY;
+use support::Rig;
+
+/// Connections of one VM among three to a member that takes 21.
+const PART: usize = 7;
+
+fn open_transaction(rig: &mut Rig) -> CallerId {
+    let caller = rig.session("primary-db");
+    rig.query(caller, "BEGIN");
+    rig.query(caller, "READ x");
+    rig.accept_links();
+    while let Some((link, _)) = rig.take_command(PRIMARY) {
+        rig.succeed(link, TransactionState::Open, 1);
+    }
+    caller
+}
+
+fn primary_links(rig: &Rig) -> usize {
+    rig.links.values().filter(|link| link.member == PRIMARY).count()
+}
+
+/// Guards against statements that wait behind paused transactions while the member has connections
+/// left that other VMs do not use.
+#[test]
+fn paused_transactions_do_not_hold_up_statements() {
+    let mut rig = Rig::with_peers(&["vm-2", "vm-3"]);
+    let callers: Vec<_> = (0..PART).map(|_| open_transaction(&mut rig)).collect();
+    assert_eq!(primary_links(&rig), PART);
+    let late = rig.session("primary-db");
+    rig.query(late, "WRITE x 1");
+    rig.accept_links();
+    let command = rig.take_command(PRIMARY).map(|(_, command)| command);
+    assert!(matches!(command, Some(MemberCommand::Forward { .. })), "{command:?}");
+    drop(callers);
+}
+
+/// Guards against a VM that keeps connections beyond its part, which other VMs then lack.
+#[test]
+fn connection_beyond_the_part_is_closed_when_it_is_free() {
+    let mut rig = Rig::with_peers(&["vm-2", "vm-3"]);
+    for _ in 0..PART {
+        open_transaction(&mut rig);
+    }
+    let late = rig.session("primary-db");
+    rig.query(late, "WRITE x 1");
+    rig.serve(2);
+    assert_eq!(primary_links(&rig), PART);
+}
