--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -47,7 +47,14 @@
         link.is_open = true;
         link.used_at = now;
         let group = link.group.clone();
+        let taken = now.since(link.opened_at);
         link.send(now, actions);
+        if let Some(member) = self.member_of(id) {
+            member.opened_in(taken);
+        }
+        let Some(link) = self.links.get(&id) else {
+            return;
+        };
         if link.owner == Owner::Pool && link.is_quiet() {
             self.free_link(now, id, actions);
         }
@@ -205,7 +212,9 @@
         };
         self.dispatch_group(now, &group, actions);
         let budget = self.link_budget(&group);
-        let is_borrowed = self.member_of(id).is_some_and(|member| member.links > budget);
+        let is_borrowed = self
+            .member_of(id)
+            .is_some_and(|member| member.links > budget);
         if is_borrowed && self.links.get(&id).is_some_and(Link::is_free) {
             self.close_link(id, actions);
         }
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -13,6 +13,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::WorkspaceId;
+use smallvec::SmallVec;
 
 use crate::catalogue::Consistency;
 use crate::event::PoolAction;
@@ -30,24 +31,23 @@
 use crate::statement::ForwardedStatement;
 use crate::statement::MemberCommand;
 
-/// What opening a connection costs against using an open one, at least: the time that members need
-/// for it where they are fast.
-const OPEN_COST: Duration = Duration::from_millis(15);
+/// How much the time to open a connection counts: the statement waits for it, and it takes a slot
+/// from others.
+const OPEN_WEIGHT: u32 = 2;
+
+/// Time after which a waiting statement takes whatever connection becomes free, and does not wait
+/// for one of its workspace any more: a few statements, far below the objectives.
+const AGED_WAIT: Duration = Duration::from_millis(60);
 
 /// What another data centre costs: a round trip.
 const DISTANCE_COST: Duration = Duration::from_millis(3);
 
-/// What a read costs more at the primary, which alone can run writes: about two statements.
-const PRIMARY_COST: Duration = Duration::from_millis(40);
+/// What a read costs more at the primary, which alone can run writes: more than opening a connection to a replica.
+const PRIMARY_COST: Duration = Duration::from_millis(60);
 
 /// Part of a staleness bound that is left for the way to the member and for clock granularity.
 const STALENESS_MARGIN: Duration = Duration::from_millis(100);
 
-/// How many times its part of a member's connections a VM may open while all of them are in use.
-/// Open transactions hold connections while their callers pause, unevenly over the VMs; beyond
-/// its part a VM gives each connection back as soon as it is free.
-const BORROWED_BUDGETS: u32 = 2;
-
 /// What a statement needs of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Need {
@@ -58,6 +58,7 @@
 }
 
 /// How a statement gets to a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Choice {
     /// A connection that is free.
     Use(ConnectionId),
@@ -66,6 +67,23 @@
         member: MemberId,
         replaces: Option<ConnectionId>,
     },
+    /// A connection of the workspace that is soon free.
+    Await,
+}
+
+/// The order in which waiting statements are looked at when something is free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Round {
+    /// Those that have waited long, so that no workspace starves.
+    Aged,
+    /// Those that can use a free connection as it is.
+    Matching,
+    /// All others.
+    Rest,
+}
+
+impl Round {
+    const ALL: [Self; 3] = [Self::Aged, Self::Matching, Self::Rest];
 }
 
 impl Pool {
@@ -112,38 +130,70 @@
     }
 
     /// Serves the waiting statements of a group as far as connections go.
+    ///
+    /// A connection belongs to one workspace, and opening one takes a slot of the member for as
+    /// long as one or two statements. A free connection therefore goes to the next statement of
+    /// its workspace rather than to the first one, within [`AGED_WAIT`].
     pub(crate) fn dispatch_group(
         &mut self,
         now: MonoTime,
         id: &GroupId,
         actions: &mut Vec<PoolAction>,
     ) {
-        let Some(group) = self.groups.get(id) else {
-            return;
-        };
-        for caller in group.waiting.clone() {
-            let Some((need, choice)) = self.choose(now, caller) else {
-                continue;
+        for round in Round::ALL {
+            let Some(group) = self.groups.get(id) else {
+                return;
             };
-            self.leave_queue(caller, id);
-            let link = match choice {
-                Choice::Use(link) => link,
-                Choice::Open { member, replaces } => {
-                    if let Some(replaced) = replaces {
-                        self.close_link(replaced, actions);
-                    }
-                    let workspace = self.workspace_of(caller);
-                    self.open_link(now, id, &member, workspace, actions)
+            if group.waiting.is_empty() {
+                return;
+            }
+            for caller in group.waiting.clone() {
+                if self.waited(now, caller) < AGED_WAIT && round == Round::Aged {
+                    continue;
                 }
-            };
-            let after = match need {
-                Need::Lead => None,
-                Need::Has(position) => Some(position),
-            };
-            self.place(now, caller, link, after, actions);
+                match self.choose(now, caller) {
+                    None | Some((_, Choice::Await)) => {}
+                    Some((_, Choice::Open { .. })) if round == Round::Matching => {}
+                    Some((need, choice)) => self.serve(now, id, caller, need, choice, actions),
+                }
+            }
         }
     }
 
+    fn waited(&self, now: MonoTime, caller: CallerId) -> Duration {
+        let session = self.sessions.get(&caller);
+        let current = session.and_then(|session| session.current.as_ref());
+        current.map_or(Duration::ZERO, |current| now.since(current.started_at))
+    }
+
+    fn serve(
+        &mut self,
+        now: MonoTime,
+        group: &GroupId,
+        caller: CallerId,
+        need: Need,
+        choice: Choice,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let link = match choice {
+            Choice::Await => return,
+            Choice::Use(link) => link,
+            Choice::Open { member, replaces } => {
+                if let Some(replaced) = replaces {
+                    self.close_link(replaced, actions);
+                }
+                let workspace = self.workspace_of(caller);
+                self.open_link(now, group, &member, workspace, actions)
+            }
+        };
+        self.leave_queue(caller, group);
+        let after = match need {
+            Need::Lead => None,
+            Need::Has(position) => Some(position),
+        };
+        self.place(now, caller, link, after, actions);
+    }
+
     fn workspace_of(&self, caller: CallerId) -> WorkspaceId {
         let opened = self
             .sessions
@@ -168,9 +218,26 @@
             }
         });
         let candidates = candidates.filter(|(_, member)| self.takes_while_cold(now, member));
-        let choices = candidates.filter_map(|(id, member)| {
-            let choice = self.connect(&current.route.group, id, member, workspace)?;
-            Some((self.cost(group, id, member, &choice), choice))
+        let mut free: SmallVec<[&Link; 16]> = SmallVec::new();
+        let mut own_busy: SmallVec<[&MemberId; 4]> = SmallVec::new();
+        for link in self
+            .links
+            .values()
+            .filter(|link| link.group == current.route.group)
+        {
+            if link.is_free() {
+                free.push(link);
+            } else if link.workspace == *workspace && !link.is_paused() {
+                own_busy.push(&link.member);
+            }
+        }
+        let may_await = now.since(current.started_at) < AGED_WAIT;
+        let choices = candidates.flat_map(|(id, member)| {
+            let awaits = may_await && own_busy.contains(&id);
+            let awaited = awaits.then(|| (member.expected_answer() * 2, Choice::Await));
+            let connected = self.connect(now, id, member, workspace, &free);
+            let connected = connected.map(|choice| (self.cost(group, id, member, &choice), choice));
+            connected.into_iter().chain(awaited)
         });
         let best = choices.min_by_key(|(cost, _)| *cost)?;
         Some((need, best.1))
@@ -204,28 +271,43 @@
     /// Returns how a workspace can get a connection to a member now.
     fn connect(
         &self,
-        group: &GroupId,
+        now: MonoTime,
         id: &MemberId,
         member: &Member,
         workspace: &WorkspaceId,
+        free: &[&Link],
     ) -> Option<Choice> {
-        let of_member = |link: &&Link| link.member == *id && link.group == *group && link.is_free();
-        let free = self.links.values().filter(of_member);
+        let free = free.iter().filter(|link| link.member == *id);
         let own = free.clone().filter(|link| link.workspace == *workspace);
         if let Some(link) = own.max_by_key(|link| link.used_at) {
             return Some(Choice::Use(link.id));
         }
+        let group = &member.entry.group;
         let budget = self.link_budget(group);
         let oldest = free.max_by_key(|link| Reverse(link.used_at));
         let replaces = match oldest {
             Some(oldest) if member.links >= budget => Some(oldest.id),
-            None if member.links >= budget * BORROWED_BUDGETS => return None,
+            None if member.links >= budget + self.borrowed(now, group, id, member) => return None,
             _ => None,
         };
         let member = id.clone();
         Some(Choice::Open { member, replaces })
     }
 
+    /// Returns how many connections beyond its part this VM may open to a member: one for each
+    /// that a paused transaction holds, unless the member has lately had none left.
+    fn borrowed(&self, now: MonoTime, group: &GroupId, id: &MemberId, member: &Member) -> u32 {
+        if !member.may_lend(now) {
+            return 0;
+        }
+        let is_paused =
+            |link: &&Link| link.member == *id && link.group == *group && link.is_paused();
+        let paused = self.links.values().filter(is_paused).count();
+        u32::try_from(paused)
+            .unwrap_or(u32::MAX)
+            .min(self.link_budget(group))
+    }
+
     /// Returns this VM's part of the connections that a member of the group takes.
     pub(crate) fn link_budget(&self, group: &GroupId) -> u32 {
         let rule = self.catalogue.groups.get(group);
@@ -238,9 +320,10 @@
         let is_primary = group.primary.as_ref() == Some(id);
         let is_distant = member.entry.data_centre != self.settings.data_centre;
         let opens = matches!(choice, Choice::Open { .. });
+        let open_cost = member.opening() * OPEN_WEIGHT;
         let part = |applies: bool, cost| if applies { cost } else { Duration::ZERO };
         member.expected_answer()
-            + part(opens, OPEN_COST)
+            + part(opens, open_cost)
             + part(is_distant, DISTANCE_COST)
             + part(is_primary, PRIMARY_COST)
     }
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -26,6 +26,9 @@
 /// How long a member that denied the lead is not taken for the primary without new evidence.
 const DENIAL: Duration = Duration::from_millis(100);
 
+/// How long a member that had no connection left lends none beyond a VM's part.
+const FULL_MEMORY: Duration = Duration::from_secs(2);
+
 /// How long a replica that lacked a position gets only reads that it is known to have.
 const LAG_MEMORY: Duration = Duration::from_millis(150);
 
@@ -38,6 +41,9 @@
 /// The expected answer time of a member that has not answered yet.
 const INITIAL_ANSWER: Duration = Duration::from_millis(20);
 
+/// The expected time to open a connection to a member that has not opened any yet.
+const INITIAL_OPENING: Duration = Duration::from_millis(20);
+
 /// The weight of one answer in the average answer time: one part in this many.
 const ANSWER_WEIGHT: u32 = 8;
 
@@ -79,12 +85,14 @@
     pub(crate) heard_at: Option<MonoTime>,
     pub(crate) down_since: Option<MonoTime>,
     retry_at: MonoTime,
+    lends_from: MonoTime,
     retry: Duration,
     pub(crate) position: Option<Position>,
     lagging_until: MonoTime,
     denied_until: MonoTime,
     denied_evidence: u64,
     answer: Duration,
+    opening: Duration,
     /// Statements of this VM in progress at the member.
     pub(crate) busy: u32,
     /// Connections of this VM, open or being opened.
@@ -105,12 +113,14 @@
             heard_at: None,
             down_since: None,
             retry_at: MonoTime::ZERO,
+            lends_from: MonoTime::ZERO,
             retry: FIRST_RETRY,
             position: None,
             lagging_until: MonoTime::ZERO,
             denied_until: MonoTime::ZERO,
             denied_evidence: 0,
             answer: INITIAL_ANSWER,
+            opening: INITIAL_OPENING,
             busy: 0,
             links: 0,
             cold_second: 0,
@@ -155,6 +165,16 @@
         self.answer = (self.answer * (ANSWER_WEIGHT - 1) + taken) / ANSWER_WEIGHT;
     }
 
+    /// Notes how long the member took to open a connection.
+    pub(crate) fn opened_in(&mut self, taken: Duration) {
+        self.opening = (self.opening * (ANSWER_WEIGHT - 1) + taken) / ANSWER_WEIGHT;
+    }
+
+    /// Returns the usual time to open a connection, which takes a slot of the member as long.
+    pub(crate) fn opening(&self) -> Duration {
+        self.opening
+    }
+
     /// Notes a failed attempt to reach the member; returns whether it was up until now.
     pub(crate) fn failed(&mut self, now: MonoTime) -> bool {
         self.retry_at = now + self.retry;
@@ -167,6 +187,12 @@
     /// Notes that the member takes no further connections for a moment.
     pub(crate) fn pause(&mut self, now: MonoTime) {
         self.retry_at = now + FIRST_RETRY;
+        self.lends_from = now + FULL_MEMORY;
+    }
+
+    /// Returns whether the member has had connections to spare lately.
+    pub(crate) fn may_lend(&self, now: MonoTime) -> bool {
+        self.lends_from <= now
     }
 
     /// Notes that the member's log lacked a position.
--- a/crates/pool/src/link.rs
+++ b/crates/pool/src/link.rs
@@ -103,6 +103,11 @@
         self.is_open && self.owner == Owner::Nobody && self.is_quiet()
     }
 
+    /// Returns whether the connection is held by a transaction whose caller pauses.
+    pub(crate) fn is_paused(&self) -> bool {
+        self.in_transaction && self.is_quiet()
+    }
+
     /// Returns whether nothing is sent or waits to be sent.
     pub(crate) fn is_quiet(&self) -> bool {
         self.unsent.is_empty() && self.in_flight.is_empty()
--- a/crates/pool/tests/connections.rs
+++ b/crates/pool/tests/connections.rs
@@ -23,7 +23,10 @@
 }
 
 fn primary_links(rig: &Rig) -> usize {
-    rig.links.values().filter(|link| link.member == PRIMARY).count()
+    rig.links
+        .values()
+        .filter(|link| link.member == PRIMARY)
+        .count()
 }
 
 /// Guards against statements that wait behind paused transactions while the member has connections
@@ -37,7 +40,10 @@
     rig.query(late, "WRITE x 1");
     rig.accept_links();
     let command = rig.take_command(PRIMARY).map(|(_, command)| command);
-    assert!(matches!(command, Some(MemberCommand::Forward { .. })), "{command:?}");
+    assert!(
+        matches!(command, Some(MemberCommand::Forward { .. })),
+        "{command:?}"
+    );
     drop(callers);
 }
 
--- a/crates/pool/tests/statements.rs
+++ b/crates/pool/tests/statements.rs
@@ -39,7 +39,11 @@
     assert!(is_begin(&begin));
     assert_eq!(rig.take_command(PRIMARY), None);
     rig.refuse(link, MemberFault::ReadOnly, TransactionState::Idle);
-    assert_eq!(rig.take_command(PRIMARY), None, "read was sent to a member without the lead");
+    assert_eq!(
+        rig.take_command(PRIMARY),
+        None,
+        "read was sent to a member without the lead"
+    );
     assert_eq!(rig.last_reply(caller), None, "the read still has time");
 }
 
@@ -67,7 +71,9 @@
     let caller = rig.session("bounded-db");
     rig.query(caller, "READ x");
     rig.accept_links();
-    let command = ["m2", "m3"].iter().find_map(|member| rig.take_command(member));
+    let command = ["m2", "m3"]
+        .iter()
+        .find_map(|member| rig.take_command(member));
     let Some((_, MemberCommand::Forward { after, .. })) = command else {
         panic!("read was not sent to a replica: {command:?}");
     };
@@ -95,7 +101,9 @@
     assert!(is_done(rig.last_reply(caller)));
     rig.query(caller, "READ x");
     rig.accept_links();
-    let command = ["m2", "m3", PRIMARY].iter().find_map(|member| rig.take_command(member));
+    let command = ["m2", "m3", PRIMARY]
+        .iter()
+        .find_map(|member| rig.take_command(member));
     let Some((_, MemberCommand::Forward { after, .. })) = command else {
         panic!("read was not sent: {command:?}");
     };
@@ -137,11 +145,16 @@
     let caller = rig.session("bounded-db");
     rig.query(caller, "READ x");
     rig.accept_links();
-    let (link, _) = ["m2", "m3"].iter().find_map(|member| rig.take_command(member)).unwrap();
+    let (link, _) = ["m2", "m3"]
+        .iter()
+        .find_map(|member| rig.take_command(member))
+        .unwrap();
     let first = rig.links.get(&link).unwrap().member.clone();
     rig.event(PoolEvent::LinkClosed { link });
     rig.accept_links();
-    let mut others = ["m2", "m3", PRIMARY].into_iter().filter(|member| *member != first);
+    let mut others = ["m2", "m3", PRIMARY]
+        .into_iter()
+        .filter(|member| *member != first);
     assert!(others.any(|member| rig.take_command(member).is_some()));
 }
 
@@ -155,13 +168,20 @@
     rig.query(caller, "BEGIN READ");
     rig.query(caller, "READ x");
     rig.accept_links();
-    let (link, begin) = ["m2", "m3"].iter().find_map(|member| rig.take_command(member)).unwrap();
+    let (link, begin) = ["m2", "m3"]
+        .iter()
+        .find_map(|member| rig.take_command(member))
+        .unwrap();
     assert_eq!(begin, MemberCommand::Begin { read_only: true });
     rig.succeed(link, TransactionState::Open, 0);
     rig.links.get_mut(&link).unwrap().sent.remove(0);
     rig.refuse(link, MemberFault::Lagging, TransactionState::Failed);
     rig.serve(1);
-    assert!(is_done(rig.last_reply(caller)), "{:?}", rig.last_reply(caller));
+    assert!(
+        is_done(rig.last_reply(caller)),
+        "{:?}",
+        rig.last_reply(caller)
+    );
 }
 
 /// Guards against session values and prepared names of one caller reaching another.
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -102,10 +102,14 @@
     let workspaces = ["acme", "brix"].map(WorkspaceId::from);
     Catalogue {
         version,
-        routes: routes.map(|(name, kind)| (name.to_owned(), route(kind))).into(),
+        routes: routes
+            .map(|(name, kind)| (name.to_owned(), route(kind)))
+            .into(),
         groups: [(GroupId::from(GROUP), group_rule())].into(),
         rates: workspaces.clone().map(|workspace| (workspace, rate)).into(),
-        keys: workspaces.map(|workspace| (format!("key-of-{workspace}"), workspace)).into(),
+        keys: workspaces
+            .map(|workspace| (format!("key-of-{workspace}"), workspace))
+            .into(),
         transaction_idle_limit: Some(Duration::from_secs(3)),
     }
 }
@@ -164,7 +168,11 @@
         rig.event(PoolEvent::DeadlineReached);
         let value = ObjectValue::Catalogue(Rc::new(catalogue));
         rig.page(ObjectKind::Configuration, vec![("main".to_owned(), value)]);
-        let members = [member(PRIMARY, true), member("m2", false), member("m3", false)];
+        let members = [
+            member(PRIMARY, true),
+            member("m2", false),
+            member("m3", false),
+        ];
         let members = members.map(|entry| (entry.id.to_string(), ObjectValue::Member(entry)));
         rig.page(ObjectKind::Members, members.into());
         rig.page(ObjectKind::Evacuations, Vec::new());
@@ -311,7 +319,11 @@
 
     /// Accepts connections that are being opened.
     pub(crate) fn accept_links(&mut self) {
-        let opening: Vec<_> = self.links.iter().filter(|(_, link)| !link.is_open).collect();
+        let opening: Vec<_> = self
+            .links
+            .iter()
+            .filter(|(_, link)| !link.is_open)
+            .collect();
         let opening: Vec<ConnectionId> = opening.into_iter().map(|(id, _)| *id).collect();
         for link in opening {
             self.links.get_mut(&link).unwrap().is_open = true;
@@ -322,7 +334,10 @@
 
     /// Takes the oldest unanswered command of a member's connections.
     pub(crate) fn take_command(&mut self, member: &str) -> Option<(ConnectionId, MemberCommand)> {
-        let mut links = self.links.iter_mut().filter(|(_, link)| link.member == member);
+        let mut links = self
+            .links
+            .iter_mut()
+            .filter(|(_, link)| link.member == member);
         let (id, link) = links.find(|(_, link)| !link.sent.is_empty())?;
         Some((*id, link.sent.remove(0)))
     }
@@ -332,7 +347,12 @@
         self.answer(link, Ok("signature".to_owned()), state, number);
     }
 
-    pub(crate) fn refuse(&mut self, link: ConnectionId, fault: MemberFault, state: TransactionState) {
+    pub(crate) fn refuse(
+        &mut self,
+        link: ConnectionId,
+        fault: MemberFault,
+        state: TransactionState,
+    ) {
         let text = "refused".to_owned();
         self.answer(link, Err(MemberError { fault, text }), state, 0);
     }
@@ -382,7 +402,11 @@
     }
 
     pub(crate) fn last_reply(&self, caller: CallerId) -> Option<&CallerReply> {
-        let own = self.replies.iter().rev().find(|(receiver, _)| *receiver == caller);
+        let own = self
+            .replies
+            .iter()
+            .rev()
+            .find(|(receiver, _)| *receiver == caller);
         own.map(|(_, reply)| reply)
     }
 
