Believe the latest evidence on a primary, and leave claims to VMs with the store

Ruled out: a late promotion order (one promotion was carried out). The member with the latest evidence is kept; one that denies for 1.5 s counts as lost, and the members are asked who leads.

--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -421,6 +421,7 @@
         match answer.result {
             Ok(_) => {
                 if let (true, Some(position)) = (needs_lead, answer.position) {
+                    group.confirm_primary(&member);
                     group.add_sample(sent_at, position);
                 }
             }
@@ -525,6 +526,7 @@
                 if let (true, Some(position)) = (has_committed, answer.position) {
                     session.raise_floor(&group, position);
                     if let Some(group) = self.groups.get_mut(&group) {
+                        group.confirm_primary(&member);
                         group.add_sample(sent_at, position);
                     }
                 }
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -246,6 +246,7 @@
     fn may_lead(&self, now: MonoTime, group: &Group, member: &Member) -> bool {
         group.is_primary_usable(now)
             && !member.is_paused(now)
+            && !member.has_denied(now)
             && !self.evacuated.contains(&member.entry.data_centre)
     }
 
--- a/crates/pool/src/failover.rs
+++ b/crates/pool/src/failover.rs
@@ -36,25 +36,34 @@
 use crate::statement::MemberAnswer;
 use crate::statement::MemberCommand;
 
-/// How long a primary has to be out of reach before it is replaced. It covers two further
-/// attempts to connect, so that one reset connection replaces nobody.
-const DOWN_TIME: Duration = Duration::from_millis(300);
+/// How long a primary has to be out of reach before it is replaced. It covers a further attempt
+/// to connect, so that one reset connection replaces nobody.
+const DOWN_TIME: Duration = Duration::from_millis(200);
 
 /// How long a group may have no known primary before one is promoted. A change that is under way
 /// is reported within this time.
 const NO_PRIMARY_TIME: Duration = Duration::from_millis(1_500);
 
-/// The lead of each rank over the next: more than the time of a whole claim.
-const RANK_DELAY: Duration = Duration::from_millis(400);
+/// The lead of each rank over the next: more than the time to ask the other VMs, who then wait.
+const RANK_DELAY: Duration = Duration::from_millis(150);
+
+/// How long a VM that was asked about a primary leaves its replacement to the one that asked.
+const ASKED_PAUSE: Duration = Duration::from_millis(350);
 
 /// Time for the other VMs to say whether they reach a member.
 const ASK_TIME: Duration = Duration::from_millis(120);
 
+/// How long a primary denies the lead or is out of reach before the members are asked who leads.
+const SEARCH_DELAY: Duration = Duration::from_millis(400);
+
+/// Time between such questions.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Wait after another VM has reached the primary.
 const REACHED_PAUSE: Duration = Duration::from_millis(500);
 
 /// Time for members to tell their positions.
-const SURVEY_TIME: Duration = Duration::from_millis(400);
+const SURVEY_TIME: Duration = Duration::from_millis(250);
 
 /// Time between questions in one survey.
 const SURVEY_REPEAT: Duration = Duration::from_millis(60);
@@ -129,6 +138,13 @@
         }
     }
 
+    /// Leaves the replacement to another VM that has begun it.
+    pub(crate) fn asked(&mut self, now: MonoTime) {
+        if matches!(self.phase, Phase::Idle) {
+            self.not_before = self.not_before.max(now + ASKED_PAUSE);
+        }
+    }
+
     fn pause(&mut self, now: MonoTime, pause: Duration) {
         self.phase = Phase::Idle;
         self.not_before = now + pause;
@@ -144,8 +160,10 @@
         actions: &mut Vec<PoolAction>,
     ) {
         self.sample_when_read(now, id, actions);
+        self.search_primary(now, id, actions);
         let trouble = self.trouble_of(now, id);
         let rank = self.rank_for(id);
+        let store_is_lost = self.is_store_lost();
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
@@ -165,7 +183,8 @@
         match &failover.phase {
             Phase::Idle => {
                 let due = since + RANK_DELAY * rank;
-                if now >= due && now >= failover.not_before {
+                // Without the store no claim can be written; another VM may reach it.
+                if now >= due && now >= failover.not_before && !store_is_lost {
                     self.begin_replacement(now, id, cause, actions);
                 }
             }
@@ -176,6 +195,39 @@
         }
     }
 
+    /// Asks the members who leads, once the one that the evidence names has denied it for a while.
+    /// A VM without the store and the other VMs learns of a new primary only so.
+    fn search_primary(&mut self, now: MonoTime, id: &GroupId, actions: &mut Vec<PoolAction>) {
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        let primary = group
+            .primary
+            .as_ref()
+            .and_then(|primary| group.members.get(primary));
+        let is_denied = |member: &Member| {
+            let denied = member
+                .denied_since
+                .is_some_and(|since| now.since(since) >= SEARCH_DELAY);
+            denied
+                || member
+                    .down_since
+                    .is_some_and(|since| now.since(since) >= SEARCH_DELAY)
+        };
+        if !primary.is_none_or(is_denied) || now < group.search_due {
+            return;
+        }
+        group.search_due = now + SEARCH_INTERVAL;
+        let reachable = group
+            .members
+            .iter()
+            .filter(|(_, member)| member.down_since.is_none());
+        let members: Vec<MemberId> = reachable.map(|(member, _)| member.clone()).collect();
+        for member in members {
+            self.ask_member(now, id, &member, MemberCommand::Status, actions);
+        }
+    }
+
     /// Keeps a sample at hand while callers read the group.
     fn sample_when_read(&mut self, now: MonoTime, id: &GroupId, actions: &mut Vec<PoolAction>) {
         let is_read = self.active.iter().any(|caller| {
@@ -202,8 +254,11 @@
         let is_down = primary
             .down_since
             .is_some_and(|since| now.since(since) >= DOWN_TIME);
+        let has_lost_lead = primary
+            .denied_since
+            .is_some_and(|since| now.since(since) >= NO_PRIMARY_TIME);
         let is_out = self.evacuated.contains(&primary.entry.data_centre);
-        if is_down {
+        if is_down || has_lost_lead {
             Some(Cause::Lost)
         } else if primary.draining_since.is_some() || is_out {
             Some(Cause::Planned)
@@ -509,6 +564,18 @@
             return;
         };
         let is_primary = group.primary.as_ref() == Some(&member);
+        let status = answer.status.filter(|_| answer.result.is_ok());
+        let denies = |primary: &MemberId| {
+            let state = group.members.get(primary);
+            state.is_some_and(|state| state.denied_since.is_some() || state.down_since.is_some())
+        };
+        if status.is_some_and(|status| status.is_primary)
+            && !is_primary
+            && group.primary.as_ref().is_none_or(denies)
+        {
+            group.found_primary(now, &member);
+            return self.refresh_group(now, &group_id, actions);
+        }
         let Phase::Surveying {
             received,
             handed_over,
@@ -517,7 +584,7 @@
         else {
             return;
         };
-        let Some(status) = answer.status.filter(|_| answer.result.is_ok()) else {
+        let Some(status) = status else {
             return;
         };
         if is_primary && !status.is_primary {
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -23,8 +23,9 @@
 /// take new work for at least 7 s after they announced that they leave.
 const DRAINING_PRIMARY_USE: Duration = Duration::from_millis(4_500);
 
-/// How long a member that denied the lead is not taken for the primary without new evidence.
-const DENIAL: Duration = Duration::from_millis(100);
+/// Time between attempts at a member that denies the lead: a promoted member leads some hundred
+/// milliseconds after the order.
+const DENIAL: Duration = Duration::from_millis(40);
 
 /// How long a member that had no connection left lends none beyond a VM's part.
 const FULL_MEMORY: Duration = Duration::from_secs(2);
@@ -90,7 +91,8 @@
     pub(crate) position: Option<Position>,
     lagging_until: MonoTime,
     denied_until: MonoTime,
-    denied_evidence: u64,
+    /// Since when the member has denied the lead without proving it.
+    pub(crate) denied_since: Option<MonoTime>,
     answer: Duration,
     opening: Duration,
     /// Statements of this VM in progress at the member.
@@ -118,7 +120,7 @@
             position: None,
             lagging_until: MonoTime::ZERO,
             denied_until: MonoTime::ZERO,
-            denied_evidence: 0,
+            denied_since: None,
             answer: INITIAL_ANSWER,
             opening: INITIAL_OPENING,
             busy: 0,
@@ -200,10 +202,15 @@
         self.lagging_until = now + LAG_MEMORY;
     }
 
-    /// Notes that the member is not the primary, whatever says so up to the given revision.
-    pub(crate) fn denied(&mut self, now: MonoTime, evidence: u64) {
+    /// Notes that the member says that it is not the primary.
+    fn denied(&mut self, now: MonoTime) {
         self.denied_until = now + DENIAL;
-        self.denied_evidence = evidence;
+        self.denied_since.get_or_insert(now);
+    }
+
+    /// Returns whether the member has said very recently that it is not the primary.
+    pub(crate) fn has_denied(&self, now: MonoTime) -> bool {
+        self.denied_until > now
     }
 
     /// Returns when a connection may be tried; `None` when now.
@@ -267,6 +274,8 @@
     pub(crate) waiting: Vec<CallerId>,
     pub(crate) failover: Failover,
     pub(crate) is_sampling: bool,
+    /// When the members may be asked again who leads.
+    pub(crate) search_due: MonoTime,
 }
 
 impl Group {
@@ -299,23 +308,33 @@
         self.members
             .iter()
             .filter(|(_, member)| !member.is_gone(now))
-            .filter_map(|(id, member)| {
-                Some((id, member, member.claim_revision.max(announced(id))?))
-            })
-            .filter(|(_, member, rank)| {
-                *rank > member.denied_evidence || member.denied_until <= now
-            })
-            .max_by_key(|(_, _, rank)| *rank)
-            .map(|(id, _, rank)| (id.clone(), rank))
+            .filter_map(|(id, member)| Some((id, member.claim_revision.max(announced(id))?)))
+            .max_by_key(|(_, rank)| *rank)
+            .map(|(id, rank)| (id.clone(), rank))
     }
 
-    /// Notes that the member taken for the primary says that it is not.
+    /// Notes that the member taken for the primary says that it is not. It stays the one that the
+    /// evidence names: a member that was promoted leads some hundred milliseconds later.
     pub(crate) fn deny_primary(&mut self, now: MonoTime, member: &MemberId) {
-        let announced = self.announced.as_ref().filter(|latest| latest.0 == *member);
-        let announced = announced.map(|latest| latest.1);
         if let Some(state) = self.members.get_mut(member) {
-            let evidence = state.claim_revision.max(announced).unwrap_or(0);
-            state.denied(now, evidence);
+            state.denied(now);
+        }
+    }
+
+    /// Notes that a member has proved that it leads.
+    pub(crate) fn confirm_primary(&mut self, member: &MemberId) {
+        if let Some(state) = self.members.get_mut(member) {
+            state.denied_since = None;
+        }
+    }
+
+    /// Notes that a member says itself that it leads, while the one named by the evidence denies
+    /// it.
+    pub(crate) fn found_primary(&mut self, now: MonoTime, member: &MemberId) {
+        let known = self.leading(now);
+        if known.as_ref().is_none_or(|known| known.0 != *member) {
+            let rank = known.map_or(0, |known| known.1);
+            self.announced = Some((member.clone(), rank.saturating_add(1)));
         }
     }
 
--- a/crates/pool/src/limits.rs
+++ b/crates/pool/src/limits.rs
@@ -16,11 +16,11 @@
 
 /// Time for a member to accept a connection. Opening one takes up to 30 ms plus the wait for a
 /// slot.
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
 /// Time without any answer of a member that owes one, after which it is taken for down. Statements
 /// take 60 ms at the 99th percentile, with queues a few hundred.
-const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+const SILENCE_LIMIT: Duration = Duration::from_millis(450);
 
 /// Part of a statement's time that it may wait for a member, in percent; the rest is for running.
 const WAIT_PERCENT: u32 = 80;
@@ -145,8 +145,11 @@
         let is_down = self
             .member_of(id)
             .is_some_and(|member| member.down_since.is_some());
-        if is_silent && !is_down || !is_open {
+        if is_silent && (!is_down || !is_open) {
             self.note_failed(now, &group, &member, cause, actions);
+        } else if !is_open && let Some(member) = self.member_of(id) {
+            // The member answers others, so it has no room for a connection.
+            member.pause(now);
         }
         let is_read = match owner {
             Owner::Nobody | Owner::Pool => true,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -239,6 +239,11 @@
         self.next_tick = now;
     }
 
+    /// Returns whether the latest call to the store had no answer.
+    pub(crate) fn is_store_lost(&self) -> bool {
+        self.store_lost_since.is_some()
+    }
+
     /// Returns the time of the latest event.
     pub(crate) fn last_event(&self) -> MonoTime {
         self.last_event_at
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -36,6 +36,7 @@
 use lycheedoor_pool::MemberEntry;
 use lycheedoor_pool::MemberError;
 use lycheedoor_pool::MemberFault;
+use lycheedoor_pool::MemberStatus;
 use lycheedoor_pool::ObjectAnswer;
 use lycheedoor_pool::ObjectCall;
 use lycheedoor_pool::ObjectChange;
@@ -357,6 +358,23 @@
         self.answer(link, Err(MemberError { fault, text }), state, 0);
     }
 
+    /// Answers a command of a survey.
+    pub(crate) fn report_status(&mut self, link: ConnectionId, is_primary: bool, received: u64) {
+        let status = MemberStatus {
+            is_primary,
+            term: Term(1),
+            received: position(received),
+        };
+        let answer = MemberAnswer {
+            rows: Bytes::new(),
+            result: Ok("-".to_owned()),
+            state: TransactionState::Idle,
+            position: Some(position(received)),
+            status: Some(status),
+        };
+        self.event(PoolEvent::LinkAnswered { link, answer });
+    }
+
     fn answer(
         &mut self,
         link: ConnectionId,
