Spend slots on statements under overload and refuse what would wait too long

A statement now takes another workspace's connection only when its own workspace has none, and is refused at once when the queue before it takes longer than the route's objective.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lycheedoor_pool::MemberFault;
 use lycheedoor_pool::Report;
 use lycheedoor_telemetry::FieldValue;
 use lycheedoor_telemetry::emit;
@@ -116,6 +117,8 @@
         workspace,
         group,
         member,
+        last_fault,
+        attempts,
         error,
         cause,
         version,
@@ -141,6 +144,8 @@
             .as_ref()
             .map_or(NOTHING, |member| member.as_str())
             .into(),
+        last_fault.map_or(NOTHING, MemberFault::as_str).into(),
+        (*attempts).into(),
         error.as_str().into(),
         (*cause).into(),
         (*version).into(),
--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -450,10 +450,11 @@
         fault: MemberFault,
         actions: &mut Vec<PoolAction>,
     ) {
-        let current = self
-            .sessions
-            .get(&caller)
-            .and_then(|session| session.current.as_ref());
+        let session = self.sessions.get_mut(&caller);
+        let mut current = session.and_then(|session| session.current.as_mut());
+        if let Some(current) = &mut current {
+            current.last_fault = Some(fault);
+        }
         let Some(group_id) = current.map(|current| current.route.group.clone()) else {
             return;
         };
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::session::Stage;
 use crate::session::Work;
 use crate::statement::Access;
+use crate::statement::CallerError;
 use crate::statement::ForwardedStatement;
 use crate::statement::MemberCommand;
 
@@ -35,10 +36,17 @@
 /// from others.
 const OPEN_WEIGHT: u32 = 2;
 
-/// Time after which a waiting statement takes whatever connection becomes free, and does not wait
-/// for one of its workspace any more: a few statements, far below the objectives.
+/// Time after which a statement of a workspace without any connection in the group takes the next
+/// one that becomes free: a few statements, far below the objectives.
 const AGED_WAIT: Duration = Duration::from_millis(60);
 
+/// Time after which a statement does not wait for a connection of its workspace any more. A member
+/// that is overloaded spends its slots on statements until then, not on new connections.
+const AWAIT_LIMIT: Duration = Duration::from_millis(250);
+
+/// The wait that a statement may always have; below it a queue is no sign of overload.
+const SHORT_WAIT: Duration = Duration::from_millis(100);
+
 /// What another data centre costs: a round trip.
 const DISTANCE_COST: Duration = Duration::from_millis(3);
 
@@ -120,17 +128,70 @@
         let waiting = &mut self.groups.entry(group.clone()).or_default().waiting;
         let at = waiting.partition_point(before);
         waiting.insert(at, caller);
+        if self.is_queue_too_long(now, caller, &group) {
+            return self.refuse_waiting(now, caller, actions);
+        }
         self.dispatch_group(now, &group, actions);
     }
 
+    /// Refuses a statement that has not run.
+    fn refuse_waiting(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
+        let session = self.sessions.get(&caller);
+        let in_transaction = session.is_some_and(|session| session.transaction.is_some());
+        let error = if in_transaction {
+            self.abort_transaction(now, caller, actions);
+            CallerError::Aborted
+        } else {
+            CallerError::Busy
+        };
+        self.fail_current(now, caller, error, "queue is too long", actions);
+    }
+
     pub(crate) fn leave_queue(&mut self, caller: CallerId, group: &GroupId) {
         if let Some(group) = self.groups.get_mut(group) {
             group.waiting.retain(|waiting| *waiting != caller);
         }
     }
 
-    /// Serves the waiting statements of a group as far as connections go.
-    ///
+    /// Returns whether a statement that joins the queue of a group now is likely to wait for longer
+    /// than its route's objective. Statements before it take their usual time each, over as many
+    /// connections as this VM may use; without a usable member there is no estimate.
+    fn is_queue_too_long(&self, now: MonoTime, caller: CallerId, id: &GroupId) -> bool {
+        let session = self.sessions.get(&caller);
+        let current = session.and_then(|session| session.current.as_ref());
+        let (Some(current), Some(group)) = (current, self.groups.get(id)) else {
+            return false;
+        };
+        let is_primary = |id: &MemberId| group.primary.as_ref() == Some(id);
+        let usable = group.members.iter().filter(|(id, member)| {
+            if current.needs_primary {
+                is_primary(id) && self.may_lead(now, group, member)
+            } else {
+                self.may_read(now, member)
+            }
+        });
+        let (members, answers) = usable.fold((0, Duration::ZERO), |(count, sum), (_, member)| {
+            (count + 1, sum + member.answer())
+        });
+        if members == 0 {
+            return false;
+        }
+        let ahead = group
+            .waiting
+            .iter()
+            .take_while(|waiting| **waiting != caller);
+        let ahead = ahead.filter(|waiting| {
+            let session = self.sessions.get(waiting);
+            let other = session.and_then(|session| session.current.as_ref());
+            !current.needs_primary || other.is_some_and(|other| other.needs_primary)
+        });
+        let ahead = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
+        let answer = answers / members;
+        let expected = answer.saturating_mul(ahead) / (members * self.link_budget(id));
+        expected > current.route.target_latency.max(SHORT_WAIT)
+    }
+
+    /// Serves the waiting statements of a group as far as connections go.///
     /// A connection belongs to one workspace, and opening one takes a slot of the member for as
     /// long as one or two statements. A free connection therefore goes to the next statement of
     /// its workspace rather than to the first one, within [`AGED_WAIT`].
@@ -148,7 +209,7 @@
                 return;
             }
             for caller in group.waiting.clone() {
-                if self.waited(now, caller) < AGED_WAIT && round == Round::Aged {
+                if round == Round::Aged && !self.is_aged(now, caller, id) {
                     continue;
                 }
                 match self.choose(now, caller) {
@@ -160,6 +221,20 @@
         }
     }
 
+    /// Returns whether a statement has waited long and its workspace has no connection in the
+    /// group that could become free for it.
+    fn is_aged(&self, now: MonoTime, caller: CallerId, group: &GroupId) -> bool {
+        let session = self.sessions.get(&caller);
+        let opened = session.and_then(|session| session.opened.as_ref());
+        self.waited(now, caller) >= AGED_WAIT
+            && opened.is_some_and(|opened| {
+                let is_own = |link: &Link| {
+                    link.group == *group && link.workspace == opened.workspace && !link.is_paused()
+                };
+                !self.links.values().any(is_own)
+            })
+    }
+
     fn waited(&self, now: MonoTime, caller: CallerId) -> Duration {
         let session = self.sessions.get(&caller);
         let current = session.and_then(|session| session.current.as_ref());
@@ -214,7 +289,9 @@
         let candidates = group.members.iter().filter(|(id, member)| match need {
             Need::Lead => group.primary.as_ref() == Some(*id) && self.may_lead(now, group, member),
             Need::Has(position) => {
-                !current.excluded.contains(*id) && self.may_read(now, group, member, position)
+                !current.excluded.contains(*id)
+                    && self.may_read(now, member)
+                    && member.may_have(now, position)
             }
         });
         let candidates = candidates.filter(|(_, member)| self.takes_while_cold(now, member));
@@ -231,7 +308,7 @@
                 own_busy.push(&link.member);
             }
         }
-        let may_await = now.since(current.started_at) < AGED_WAIT;
+        let may_await = now.since(current.started_at) < AWAIT_LIMIT;
         let choices = candidates.flat_map(|(id, member)| {
             let awaits = may_await && own_busy.contains(&id);
             let awaited = awaits.then(|| (member.expected_answer() * 2, Choice::Await));
@@ -250,13 +327,12 @@
             && !self.evacuated.contains(&member.entry.data_centre)
     }
 
-    fn may_read(&self, now: MonoTime, _: &Group, member: &Member, position: Position) -> bool {
+    fn may_read(&self, now: MonoTime, member: &Member) -> bool {
         member.draining_since.is_none()
             && member.missing_since.is_none()
             && member.down_since.is_none()
             && !member.is_paused(now)
             && !self.evacuated.contains(&member.entry.data_centre)
-            && member.may_have(now, position)
     }
 
     /// Returns whether a member may get a statement although it is cold: its limit is split over
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -20,6 +20,7 @@
 use crate::statement::MemberAnswer;
 use crate::statement::MemberCommand;
 use crate::statement::MemberError;
+use crate::statement::MemberFault;
 use crate::statement::TransactionState;
 use crate::store::ObjectAnswer;
 use crate::store::ObjectCall;
@@ -261,6 +262,10 @@
         group: Option<GroupId>,
         /// The member that the statement was sent to last.
         member: Option<MemberId>,
+        /// What the last member that did not run the statement said.
+        last_fault: Option<MemberFault>,
+        /// Attempts that ended without a result.
+        attempts: u32,
         /// Why.
         error: CallerError,
         /// The decision that led to it.
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -172,6 +172,11 @@
         self.opening = (self.opening * (ANSWER_WEIGHT - 1) + taken) / ANSWER_WEIGHT;
     }
 
+    /// Returns the usual time to an answer.
+    pub(crate) fn answer(&self) -> Duration {
+        self.answer
+    }
+
     /// Returns the usual time to open a connection, which takes a slot of the member as long.
     pub(crate) fn opening(&self) -> Duration {
         self.opening
--- a/crates/pool/src/probe.rs
+++ b/crates/pool/src/probe.rs
@@ -107,10 +107,11 @@
         member: MemberId,
         actions: &mut Vec<PoolAction>,
     ) {
-        let known = self
-            .groups
-            .get(&group)
-            .and_then(|group| group.members.get(&member));
+        let Some(state) = self.groups.get_mut(&group) else {
+            return;
+        };
+        state.failover.asked(now);
+        let known = state.members.get(&member);
         let heard = known.and_then(|member| member.heard_at);
         let heard_ms = heard.map(|at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX));
         let message = PoolMessage::Contact {
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -311,6 +311,7 @@
             excluded: SmallVec::new(),
             last_member: None,
             needs_primary,
+            last_fault: None,
             attempts: 0,
             not_before: now,
         });
@@ -431,6 +432,8 @@
             workspace: workspace.unwrap_or_else(|| WorkspaceId::from(PUBLIC_WORKSPACE)),
             group: Some(group.clone()),
             member: current.last_member,
+            last_fault: current.last_fault,
+            attempts: current.attempts,
             error,
             cause,
             version: self.catalogue.version,
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -17,6 +17,7 @@
 use crate::catalogue::RouteRule;
 use crate::statement::Access;
 use crate::statement::CallerRequest;
+use crate::statement::MemberFault;
 use crate::statement::TransactionState;
 
 /// A prepared statement of a session.
@@ -91,6 +92,8 @@
     pub(crate) excluded: SmallVec<[MemberId; 2]>,
     pub(crate) last_member: Option<MemberId>,
     pub(crate) needs_primary: bool,
+    /// What the last member that did not run the statement said.
+    pub(crate) last_fault: Option<MemberFault>,
     /// Attempts that ended without a result.
     pub(crate) attempts: u32,
     /// Not before this time the statement is tried again.
--- a/crates/pool/src/statement.rs
+++ b/crates/pool/src/statement.rs
@@ -234,6 +234,23 @@
     Other,
 }
 
+impl MemberFault {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::UnknownStatement => "unknown_statement",
+            Self::Lagging => "lagging",
+            Self::ReadOnly => "read_only",
+            Self::Misrouted => "misrouted",
+            Self::TooManyConnections => "too_many_connections",
+            Self::Failed => "failed",
+            Self::TimedOut => "timed_out",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// A refusal of a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberError {
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -100,6 +100,8 @@
         "workspace",
         "group",
         "member",
+        "last_fault",
+        "attempts",
         "error",
         "cause",
         "config_version",
