--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -47,11 +47,7 @@
             }
         };
         socket.set_nodelay();
-        if let Err(error) = socket.detect_silence() {
-            let cause = error.to_string();
-            let values = ["callers".into(), cause.as_str().into()];
-            emit_limited(&events::SOCKET_LIMIT, "keepalive", &values);
-        }
+
         let connection = CallerConnection {
             socket,
             codec: self.borders.dialect.caller_codec(),
@@ -153,6 +149,12 @@
     /// Closes a connection after what was written to it; bytes that still arrive are read, since
     /// unread ones would reset the connection and take the last answer with it.
     pub(crate) fn close_caller(&mut self, cx: CX![], caller: CallerId) {
+        let is_quiet = |connection: &CallerConnection| connection.socket.out.is_empty();
+        if self.callers.get(&caller.0).is_some_and(is_quiet) {
+            // The caller has said that it leaves, or there is nothing that it has to read.
+            self.callers.remove(&caller.0);
+            return;
+        }
         if let Some(connection) = self.callers.get_mut(&caller.0) {
             connection.is_closing = true;
             self.mark_dirty(Dirty::Caller(caller.0));
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 
 use lycheedoor_core::timeline::HybridClock;
@@ -39,6 +40,10 @@
 use crate::store::StoreReader;
 use crate::store::StoreWriter;
 
+/// Time by which timers are set late. The event loop and the pool read different clocks; a timer
+/// that fires a little early by the pool's would be set again and again until the time has come.
+const TIMER_SLACK: Duration = Duration::from_millis(1);
+
 /// A socket whose output has to be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Dirty {
@@ -71,6 +76,9 @@
     is_handling: bool,
     dirty: SmallVec<[Dirty; 8]>,
     timer: Option<(MonoTime, FixedTimerKey)>,
+    /// The time of the current turn of the event loop: reading the clock costs a system call on
+    /// some machines.
+    turn: Option<(Instant, MonoTime)>,
 }
 
 impl Driver {
@@ -108,11 +116,24 @@
             is_handling: false,
             dirty: SmallVec::new(),
             timer: None,
+            turn: None,
         };
         driver.report(cx, PoolEvent::DeadlineReached);
         Some(driver)
     }
 
+    /// Returns the time of the turn of the event loop that began at `turn`.
+    pub(crate) fn now(&mut self, turn: Instant) -> MonoTime {
+        if let Some((known, now)) = self.turn
+            && known == turn
+        {
+            return now;
+        }
+        let now = self.clock.now();
+        self.turn = Some((turn, now));
+        now
+    }
+
     pub(crate) fn new_socket_number(&mut self) -> u64 {
         self.next_socket += 1;
         self.next_socket
@@ -128,7 +149,8 @@
         self.is_handling = true;
         let mut actions = Vec::new();
         while let Some(event) = self.pending.pop_front() {
-            self.pool.handle(self.clock.now(), event, &mut actions);
+            let now = self.now(cx.now());
+            self.pool.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(cx, action);
             }
@@ -203,7 +225,7 @@
         if let Some((_, timer)) = self.timer.take() {
             cx.timer_del(timer);
         }
-        let wait: Duration = due.since(self.clock.now());
+        let wait = due.since(self.now(cx.now())) + TIMER_SLACK;
         self.timer = Some((due, after!(wait, [cx], deadline())));
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -64,7 +64,7 @@
                 return emit_limited(&events::PEER_MALFORMED, &cause, &[cause.as_str().into()]);
             }
         };
-        let now = self.clock.now();
+        let now = self.now(cx.now());
         let is_stale = self.peers_out.get(&to).is_some_and(|peer| {
             let is_overdue = !peer.is_connected && now.since(peer.opened_at) > CONNECT_LIMIT;
             peer.address != address || is_overdue
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -37,7 +37,7 @@
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
 
 /// The longest wait of a watch. Each one that ends without a change is a call that costs.
-pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(15);
+pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(30);
 
 /// Limits of the store's responses: a page holds about 1 MB of objects.
 const RESPONSE_LIMITS: Limits = Limits {
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -47,8 +47,8 @@
 /// The wait that a statement may always have; below it a queue is no sign of overload.
 const SHORT_WAIT: Duration = Duration::from_millis(100);
 
-/// What another data centre costs: a round trip.
-const DISTANCE_COST: Duration = Duration::from_millis(3);
+/// What another data centre costs: a round trip, and traffic that is paid for.
+const DISTANCE_COST: Duration = Duration::from_millis(8);
 
 /// What a read costs more at the primary, which alone can run writes: more than opening a connection to a replica.
 const PRIMARY_COST: Duration = Duration::from_millis(60);
@@ -191,7 +191,8 @@
         expected > current.route.target_latency.max(SHORT_WAIT)
     }
 
-    /// Serves the waiting statements of a group as far as connections go.///
+    /// Serves the waiting statements of a group as far as connections go.
+    ///
     /// A connection belongs to one workspace, and opening one takes a slot of the member for as
     /// long as one or two statements. A free connection therefore goes to the next statement of
     /// its workspace rather than to the first one, within [`AGED_WAIT`].
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -42,7 +42,10 @@
 
 /// Time between looks at time limits while statements or replacements are in progress; a limit is
 /// noticed at most this much late.
-const BUSY_TICK: Duration = Duration::from_millis(25);
+const BUSY_TICK: Duration = Duration::from_millis(50);
+
+/// Time between looks while statements wait, some of them for a pause before the next attempt.
+const WAITING_TICK: Duration = Duration::from_millis(15);
 
 /// Time between looks while nothing is in progress.
 const IDLE_TICK: Duration = Duration::from_millis(250);
@@ -195,18 +198,27 @@
         }
         if self.next_tick <= now {
             self.tick(now, actions);
-            let is_busy = !self.active.is_empty()
-                || self.stop.is_some()
-                || self.groups.values().any(|group| group.failover.is_active());
-            self.next_tick = now + if is_busy { BUSY_TICK } else { IDLE_TICK };
-        } else if !self.active.is_empty() {
-            self.next_tick = self.next_tick.min(now + BUSY_TICK);
+            self.next_tick = now + self.tick_interval();
+        } else {
+            self.next_tick = self.next_tick.min(now + self.tick_interval());
         }
         for follower in self.followers.values_mut() {
             actions.extend(follower.next_call(now).map(PoolAction::ReadObjects));
         }
     }
 
+    fn tick_interval(&self) -> Duration {
+        let mut groups = self.groups.values();
+        let is_replacing = self.groups.values().any(|group| group.failover.is_active());
+        if groups.any(|group| !group.waiting.is_empty()) || is_replacing {
+            WAITING_TICK
+        } else if !self.active.is_empty() || self.stop.is_some() {
+            BUSY_TICK
+        } else {
+            IDLE_TICK
+        }
+    }
+
     fn tick(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         if self.registration_due.is_some_and(|due| due <= now) {
             self.register(now, actions);
