--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -37,6 +36,7 @@
 use crate::reports::write_report;
 use crate::run::Addresses;
 use crate::run::Borders;
+use crate::run::Setup;
 use crate::store::StoreReader;
 use crate::store::StoreWriter;
 
@@ -57,7 +57,7 @@
     pub(crate) pool: Pool,
     pub(crate) clock: BootClock,
     pub(crate) hybrid: HybridClock,
-    pub(crate) borders: Rc<Borders>,
+    pub(crate) borders: Borders,
     pub(crate) addresses: Addresses,
     pub(crate) metrics: MetricsHandle,
     log: LogBuffer,
@@ -82,26 +82,17 @@
 }
 
 impl Driver {
-    pub(crate) fn init(
-        cx: CX![],
-        pool: Pool,
-        vm: VmId,
-        addresses: Addresses,
-        borders: Rc<Borders>,
-        metrics: MetricsHandle,
-        log: LogBuffer,
-        check_settings: Box<dyn Fn() -> Result<(), String>>,
-    ) -> Option<Self> {
+    pub(crate) fn init(cx: CX![], setup: Setup) -> Option<Self> {
         let mut driver = Self {
-            vm,
-            pool,
+            vm: setup.vm,
+            pool: Pool::new(setup.pool),
             clock: BootClock::start(),
             hybrid: HybridClock::default(),
-            borders,
-            addresses,
-            metrics,
-            log,
-            check_settings,
+            borders: setup.borders,
+            addresses: setup.addresses,
+            metrics: setup.metrics,
+            log: setup.log,
+            check_settings: setup.check_settings,
             next_socket: 0,
             callers: BTreeMap::new(),
             members: BTreeMap::new(),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,13 +4,11 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::os::fd::AsFd;
-use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use lycheedoor_core::types::VmId;
 use lycheedoor_net::Listener;
-use lycheedoor_pool::Pool;
 use lycheedoor_pool::PoolSettings;
 use lycheedoor_telemetry::LogBuffer;
 use lycheedoor_telemetry::MetricsHandle;
@@ -122,25 +120,12 @@
     let readiness = bind("readiness", setup.addresses.readiness)?;
     let peers = bind("peers", setup.addresses.peers)?;
     let collectors = bind("metrics", setup.addresses.metrics)?;
-    let log = setup.log;
     let mut stakker = Stakker::new(Instant::now());
     let stakker = &mut stakker;
     let events = Events::with_capacity(EVENTS_A_POLL);
     let poll = MioPoll::new(stakker, Poll::new()?, events, PRIORITY)?;
-    let pool = Pool::new(setup.pool);
-    let driver = actor!(
-        stakker,
-        Driver::init(
-            pool,
-            setup.vm,
-            setup.addresses,
-            Rc::new(setup.borders),
-            setup.metrics,
-            log.clone(),
-            setup.check_settings
-        ),
-        ret_shutdown!(stakker)
-    );
+    let log = setup.log.clone();
+    let driver = actor!(stakker, Driver::init(setup), ret_shutdown!(stakker));
     let accepted = fwd_to!([driver], caller_accepted() as (TcpStream));
     let _callers = actor!(
         stakker,
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -462,7 +462,7 @@
             && let Some(request) = session.backlog.pop_front()
         {
             self.caller_sent(now, caller, request, actions);
-            return self.next_request(now, caller, actions);
+            self.next_request(now, caller, actions);
         }
     }
 
