--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -33,7 +33,7 @@
     let mut client = PeerClientCodec::default();
     let bytes = [message(1), message(2)].concat();
     let mut out = Vec::new();
-    let mut versions = Vec::new();
+    let mut versions: Vec<PeerMessage> = Vec::new();
     for byte in bytes {
         server.extend(&[byte]);
         if let Some(envelope) = server.next_message(&mut out).unwrap() {
@@ -64,7 +64,7 @@
         let mut server = PeerServerCodec::default();
         let mut out = Vec::new();
         server.extend(request.as_bytes());
-        assert!(server.next_message(&mut out).is_err(), "{request}");
+        assert!(server.next_message::<PeerMessage>(&mut out).is_err(), "{request}");
         let mut client = PeerClientCodec::default();
         client.extend(&out);
         assert!(client.next_confirmation().is_err());
@@ -85,7 +85,7 @@
         let mut server = PeerServerCodec::default();
         let mut out = Vec::new();
         server.extend(&bytes);
-        while let Ok(Some(_)) = server.next_message(&mut out) {}
+        while let Ok(Some(_)) = server.next_message::<PeerMessage>(&mut out) {}
         let mut client = PeerClientCodec::default();
         client.extend(&bytes);
         while let Ok(true) = client.next_confirmation() {}
