--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -64,7 +64,10 @@
         let mut server = PeerServerCodec::default();
         let mut out = Vec::new();
         server.extend(request.as_bytes());
-        assert!(server.next_message::<PeerMessage>(&mut out).is_err(), "{request}");
+        assert!(
+            server.next_message::<PeerMessage>(&mut out).is_err(),
+            "{request}"
+        );
         let mut client = PeerClientCodec::default();
         client.extend(&out);
         assert!(client.next_confirmation().is_err());
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -479,8 +479,7 @@
     }
 
     fn roster_changed(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
-        let resized = self.roster.contains(&self.settings.vm);
-        let view = self.roster.view(&self.settings.vm, now, resized);
+        let view = self.roster.view(&self.settings.vm, now);
         self.run_rates(now, RatesEvent::Roster(view), actions);
     }
 
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -59,6 +59,8 @@
 pub(crate) struct Roster {
     vms: BTreeMap<VmId, RosterVm>,
     version: u64,
+    /// The number of slots and the own slot of the latest view, and from when on it is used.
+    held: Option<(usize, HeldSlot)>,
 }
 
 impl Roster {
@@ -75,10 +77,6 @@
         self.vms.remove(vm).is_some()
     }
 
-    pub(crate) fn contains(&self, vm: &VmId) -> bool {
-        self.vms.contains_key(vm)
-    }
-
     pub(crate) fn get(&self, vm: &VmId) -> Option<&RosterVm> {
         self.vms.get(vm)
     }
@@ -92,19 +90,29 @@
     }
 
     /// Returns the roster as the rates role takes it: the slot of a VM is its place by name.
-    pub(crate) fn view(&self, own: &VmId, now: MonoTime, resized: bool) -> RosterView {
+    ///
+    /// A VM that starts anew under its name changes no slot. When slots change, the new share is
+    /// used once the other VMs have heard of it.
+    pub(crate) fn view(&mut self, own: &VmId, now: MonoTime) -> RosterView {
         let slot_of = |vm: &VmId| {
             let place = self.vms.keys().position(|other| other == vm)?;
             u16::try_from(place).ok()
         };
-        let usable_from = if resized { now + ROSTER_SPREAD } else { now };
-        let slots = slot_of(own).map(|slot| HeldSlot { slot, usable_from });
+        let count = self.vms.len();
+        let slots = slot_of(own).map(|slot| match self.held {
+            Some((known, held)) if known == count && held.slot == slot => held,
+            _ => HeldSlot {
+                slot,
+                usable_from: now + ROSTER_SPREAD,
+            },
+        });
         let peers = self.vms.iter().filter(|(vm, _)| *vm != own);
         let peers = peers.map(|(vm, entry)| RosterPeer {
             vm: vm.clone(),
             incarnation: entry.incarnation,
             slots: slot_of(vm).into_iter().collect(),
         });
+        self.held = slots.map(|held| (count, held));
         RosterView {
             version: self.version,
             slot_count: u16::try_from(self.vms.len()).unwrap_or(u16::MAX),
--- /dev/null
+++ b/crates/pool/tests/rates.rs
@@ -0,0 +1,119 @@
+//! Rates of workspaces over the fleet, as the pool applies them.
+
+mod support;
+
+use std::rc::Rc;
+
+use lycheedoor_core::types::Incarnation;
+use lycheedoor_core::types::WorkspaceId;
+use lycheedoor_pool::CallerError;
+use lycheedoor_pool::CallerReply;
+use lycheedoor_pool::FleetRecord;
+use lycheedoor_pool::ObjectKind;
+use lycheedoor_pool::ObjectValue;
+use lycheedoor_pool::RateRule;
+use support::Rig;
+use support::catalogue;
+
+fn write(rig: &mut Rig, caller: lycheedoor_core::types::CallerId) -> Option<CallerReply> {
+    rig.query(caller, "WRITE x 1");
+    rig.serve(1);
+    rig.last_reply(caller).cloned()
+}
+
+/// Guards against a share that is lost whenever another VM starts anew: statements within the
+/// rate were refused during each rolling restart.
+#[test]
+fn restart_of_another_vm_takes_no_tokens() {
+    let mut rig = Rig::with_peers(&["vm-2"]);
+    let caller = rig.session("primary-db");
+    rig.advance(2_000);
+    assert!(matches!(
+        write(&mut rig, caller),
+        Some(CallerReply::Done { .. })
+    ));
+    let restarted = FleetRecord::Vm {
+        incarnation: Incarnation(8),
+        address: ([127, 0, 0, 1], 7_560).into(),
+    };
+    rig.change(
+        ObjectKind::Fleet,
+        "vm.vm-2",
+        Some(ObjectValue::Fleet(restarted)),
+    );
+    // Half of a burst of 1,000 belongs to this VM.
+    for number in 0..400 {
+        let reply = write(&mut rig, caller);
+        assert!(matches!(reply, Some(CallerReply::Done { .. })), "{number}: {reply:?}");
+        rig.replies.clear();
+    }
+}
+
+/// Guards against a rate that one VM exceeds alone.
+#[test]
+fn statements_over_the_rate_are_refused_as_not_run() {
+    let mut limited = catalogue(1);
+    let rule = RateRule { per_s: 1, burst: 2 };
+    limited.rates.insert(WorkspaceId::from("acme"), rule);
+    let mut rig = Rig::start(&[], limited);
+    rig.advance(5_000);
+    let caller = rig.session("primary-db");
+    let mut refused = 0;
+    for _ in 0..5 {
+        let reply = write(&mut rig, caller);
+        if !matches!(reply, Some(CallerReply::Done { .. })) {
+            rig.advance(150);
+            let last = rig.last_reply(caller);
+            assert!(matches!(
+                last,
+                Some(CallerReply::Failed {
+                    error: CallerError::Busy,
+                    ..
+                })
+            ));
+            refused += 1;
+        }
+        rig.replies.clear();
+    }
+    assert_eq!(refused, 3);
+}
+
+/// Guards against a withdrawn key that goes on working for callers that are connected.
+#[test]
+fn withdrawn_key_is_refused_for_open_sessions() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    let mut next = catalogue(2);
+    next.keys.clear();
+    rig.change(
+        ObjectKind::Configuration,
+        "main",
+        Some(ObjectValue::Catalogue(Rc::new(next))),
+    );
+    let reply = write(&mut rig, caller);
+    assert!(matches!(
+        reply,
+        Some(CallerReply::Failed {
+            error: CallerError::UnknownKey,
+            ..
+        })
+    ));
+}
+
+/// Guards against a configuration that goes back to an older version.
+#[test]
+fn older_configuration_is_not_applied() {
+    let mut rig = Rig::start(&[], catalogue(5));
+    let caller = rig.session("primary-db");
+    let mut older = catalogue(4);
+    older.routes.clear();
+    rig.change(
+        ObjectKind::Configuration,
+        "main",
+        Some(ObjectValue::Catalogue(Rc::new(older))),
+    );
+    assert!(matches!(
+        write(&mut rig, caller),
+        Some(CallerReply::Done { .. })
+    ));
+}
