Limit what a VM keeps in progress at an overloaded member

The limit halves on a refusal as busy or an overdue connection and grows with answers; the first way (a fixed part of the connections) is its upper bound.

--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -125,8 +125,10 @@
             // The member is there, and takes no further connection for now.
             MemberFault::TooManyConnections | MemberFault::Busy => {
                 self.note_heard(now, id, None, actions);
+                let budget = self.link_budget(&group);
                 if let Some(member) = self.member_of(id) {
                     member.pause(now);
+                    member.overloaded(now, budget);
                 }
             }
             _ => self.note_failed(now, &group, &member, "connection refused", actions),
@@ -458,10 +460,17 @@
         let Some(group_id) = current.map(|current| current.route.group.clone()) else {
             return;
         };
+        let budget = self.link_budget(&group_id);
         let Some(group) = self.groups.get_mut(&group_id) else {
             return;
         };
         let (pause, excluded) = match fault {
+            MemberFault::Busy => {
+                if let Some(state) = group.members.get_mut(member) {
+                    state.overloaded(now, budget);
+                }
+                (RETRY_PAUSE, None)
+            }
             MemberFault::ReadOnly => {
                 group.deny_primary(now, member);
                 (RETRY_PAUSE, None)
@@ -487,7 +496,9 @@
         answer: MemberAnswer,
         actions: &mut Vec<PoolAction>,
     ) {
-        if let Some(member) = self.member_of(id) {
+        if answer.result.is_ok()
+            && let Some(member) = self.member_of(id)
+        {
             member.answered_in(now.since(sent_at));
         }
         let Some(link) = self.links.get(&id) else {
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -170,9 +170,15 @@
                 self.may_read(now, member)
             }
         });
-        let (members, answers) = usable.fold((0, Duration::ZERO), |(count, sum), (_, member)| {
-            (count + 1, sum + member.answer())
+        let budget = self.link_budget(id);
+        let usable = usable.fold((0, 0, Duration::ZERO), |(count, room, sum), (_, member)| {
+            (
+                count + 1,
+                room + member.limit(budget),
+                sum + member.answer(),
+            )
         });
+        let (members, room, answers) = usable;
         if members == 0 {
             return false;
         }
@@ -187,7 +193,7 @@
         });
         let ahead = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
         let answer = answers / members;
-        let expected = answer.saturating_mul(ahead) / (members * self.link_budget(id));
+        let expected = answer.saturating_mul(ahead) / room.max(1);
         expected > current.route.target_latency.max(SHORT_WAIT)
     }
 
@@ -298,6 +304,7 @@
         let candidates = candidates.filter(|(_, member)| self.takes_while_cold(now, member));
         let mut free: SmallVec<[&Link; 16]> = SmallVec::new();
         let mut own_busy: SmallVec<[&MemberId; 4]> = SmallVec::new();
+        let mut running: SmallVec<[&MemberId; 16]> = SmallVec::new();
         for link in self
             .links
             .values()
@@ -305,15 +312,21 @@
         {
             if link.is_free() {
                 free.push(link);
-            } else if link.workspace == *workspace && !link.is_paused() {
-                own_busy.push(&link.member);
+            } else if link.owner != Owner::Nobody && !link.is_paused() {
+                running.push(&link.member);
+                if link.workspace == *workspace {
+                    own_busy.push(&link.member);
+                }
             }
         }
         let may_await = now.since(current.started_at) < AWAIT_LIMIT;
         let choices = candidates.flat_map(|(id, member)| {
             let awaits = may_await && own_busy.contains(&id);
             let awaited = awaits.then(|| (member.expected_answer() * 2, Choice::Await));
-            let connected = self.connect(now, id, member, workspace, &free);
+            let count = running.iter().filter(|running| **running == id).count();
+            let has_room = member.has_room(count, self.link_budget(&current.route.group));
+            let connected = has_room.then(|| self.connect(now, id, member, workspace, &free));
+            let connected = connected.flatten();
             let connected = connected.map(|choice| (self.cost(group, id, member, &choice), choice));
             connected.into_iter().chain(awaited)
         });
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -42,6 +42,16 @@
 /// The expected answer time of a member that has not answered yet.
 const INITIAL_ANSWER: Duration = Duration::from_millis(20);
 
+/// The largest limit of what is in progress: far more than one VM's part of the connections.
+const LARGEST_LIMIT: f64 = 64.0;
+
+/// How much the limit grows with a limit's number of answers.
+const LIMIT_STEP: f64 = 0.2;
+
+/// The shortest time between two cuts of the limit: about one queue of an overloaded member, so
+/// that refusals that were under way with the first cut cause no second one.
+const CUT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The expected time to open a connection to a member that has not opened any yet.
 const INITIAL_OPENING: Duration = Duration::from_millis(20);
 
@@ -95,6 +105,10 @@
     pub(crate) denied_since: Option<MonoTime>,
     answer: Duration,
     opening: Duration,
+    /// Statements and new connections that this VM keeps in progress at the member, if that is
+    /// fewer than its connections.
+    limit: f64,
+    cut_at: MonoTime,
     /// Statements of this VM in progress at the member.
     pub(crate) busy: u32,
     /// Connections of this VM, open or being opened.
@@ -123,6 +137,8 @@
             denied_since: None,
             answer: INITIAL_ANSWER,
             opening: INITIAL_OPENING,
+            limit: LARGEST_LIMIT,
+            cut_at: MonoTime::ZERO,
             busy: 0,
             links: 0,
             cold_second: 0,
@@ -162,8 +178,31 @@
         self.down_since.take().map(|since| now.since(since))
     }
 
+    /// Returns how much of this VM may be in progress at the member.
+    pub(crate) fn limit(&self, budget: u32) -> u32 {
+        let limit = (1..budget).take_while(|limit| f64::from(*limit) < self.limit.floor());
+        limit.last().map_or(1, |limit| limit + 1)
+    }
+
+    /// Returns whether one more may be in progress besides `running`.
+    pub(crate) fn has_room(&self, running: usize, budget: u32) -> bool {
+        let limit = self.limit.floor().max(1.0);
+        let running = u32::try_from(running).unwrap_or(u32::MAX);
+        f64::from(running) < limit || running < budget && self.limit >= f64::from(budget)
+    }
+
+    /// Halves what this VM keeps in progress at a member that is overloaded, once for each round
+    /// of answers.
+    pub(crate) fn overloaded(&mut self, now: MonoTime, budget: u32) {
+        if now.since(self.cut_at) >= CUT_INTERVAL {
+            self.cut_at = now;
+            self.limit = (self.limit.min(f64::from(budget)) / 2.0).max(1.0);
+        }
+    }
+
     /// Notes how long the member took for a statement.
     pub(crate) fn answered_in(&mut self, taken: Duration) {
+        self.limit = (self.limit + LIMIT_STEP / self.limit).min(LARGEST_LIMIT);
         self.answer = (self.answer * (ANSWER_WEIGHT - 1) + taken) / ANSWER_WEIGHT;
     }
 
--- a/crates/pool/src/limits.rs
+++ b/crates/pool/src/limits.rs
@@ -147,9 +147,13 @@
             .is_some_and(|member| member.down_since.is_some());
         if is_silent && (!is_down || !is_open) {
             self.note_failed(now, &group, &member, cause, actions);
-        } else if !is_open && let Some(member) = self.member_of(id) {
+        } else if !is_open {
             // The member answers others, so it has no room for a connection.
-            member.pause(now);
+            let budget = self.link_budget(&group);
+            if let Some(member) = self.member_of(id) {
+                member.pause(now);
+                member.overloaded(now, budget);
+            }
         }
         let is_read = match owner {
             Owner::Nobody | Owner::Pool => true,
--- a/crates/pool/tests/rates.rs
+++ b/crates/pool/tests/rates.rs
@@ -44,7 +44,10 @@
     // Half of a burst of 1,000 belongs to this VM.
     for number in 0..400 {
         let reply = write(&mut rig, caller);
-        assert!(matches!(reply, Some(CallerReply::Done { .. })), "{number}: {reply:?}");
+        assert!(
+            matches!(reply, Some(CallerReply::Done { .. })),
+            "{number}: {reply:?}"
+        );
         rig.replies.clear();
     }
 }
