--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -273,12 +273,16 @@
 
     /// Opens a session.
     pub(crate) fn session(&mut self, database: &str) -> CallerId {
+        self.session_with(database, KEY)
+    }
+
+    pub(crate) fn session_with(&mut self, database: &str, key: &str) -> CallerId {
         self.next_caller += 1;
         let caller = CallerId(self.next_caller);
         self.event(PoolEvent::CallerConnected { caller });
         let request = CallerRequest::Start {
             database: database.to_owned(),
-            key: KEY.to_owned(),
+            key: key.to_owned(),
         };
         self.event(PoolEvent::CallerSent { caller, request });
         assert_eq!(self.replies.pop(), Some((caller, CallerReply::Started)));
