--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -126,9 +126,12 @@
             MemberFault::TooManyConnections | MemberFault::Busy => {
                 self.note_heard(now, id, None, actions);
                 let budget = self.link_budget(&group);
+                let is_overloaded = error.fault == MemberFault::Busy;
                 if let Some(member) = self.member_of(id) {
                     member.pause(now);
-                    member.overloaded(now, budget);
+                    if is_overloaded {
+                        member.overloaded(now, budget);
+                    }
                 }
             }
             _ => self.note_failed(now, &group, &member, "connection refused", actions),
@@ -500,6 +503,7 @@
             && let Some(member) = self.member_of(id)
         {
             member.answered_in(now.since(sent_at));
+            member.kept_up();
         }
         let Some(link) = self.links.get(&id) else {
             return;
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -44,8 +44,9 @@
 /// that is overloaded spends its slots on statements until then, not on new connections.
 const AWAIT_LIMIT: Duration = Duration::from_millis(250);
 
-/// The wait that a statement may always have; below it a queue is no sign of overload.
-const SHORT_WAIT: Duration = Duration::from_millis(100);
+/// Part of a statement's time that it may be expected to wait, in percent. A statement that would
+/// wait longer is not servable in its time, with some for the run and the way back.
+const SERVABLE_PERCENT: u32 = 60;
 
 /// What another data centre costs: a round trip, and traffic that is paid for.
 const DISTANCE_COST: Duration = Duration::from_millis(8);
@@ -153,22 +154,22 @@
         }
     }
 
-    /// Returns whether a statement that joins the queue of a group now is likely to wait for longer
-    /// than its route's objective. Statements before it take their usual time each, over as many
+    /// Returns whether a statement that joins the queue of a group now is likely to wait for too
+    /// long to be served in its time. A late result is worth more to callers than none. Statements before it take their usual time each, over as many
     /// connections as this VM may use; without a usable member there is no estimate.
     fn is_queue_too_long(&self, now: MonoTime, caller: CallerId, id: &GroupId) -> bool {
         let session = self.sessions.get(&caller);
-        let current = session.and_then(|session| session.current.as_ref());
-        let (Some(current), Some(group)) = (current, self.groups.get(id)) else {
+        let (Some(session), Some(group)) = (session, self.groups.get(id)) else {
+            return false;
+        };
+        let Some(current) = &session.current else {
             return false;
         };
+        let need = need_of(now, session, current, group);
         let is_primary = |id: &MemberId| group.primary.as_ref() == Some(id);
-        let usable = group.members.iter().filter(|(id, member)| {
-            if current.needs_primary {
-                is_primary(id) && self.may_lead(now, group, member)
-            } else {
-                self.may_read(now, member)
-            }
+        let usable = group.members.iter().filter(|(id, member)| match need {
+            Need::Lead => is_primary(id) && self.may_lead(now, group, member),
+            Need::Has(position) => self.may_read(now, member) && member.may_have(now, position),
         });
         let budget = self.link_budget(id);
         let usable = usable.fold((0, 0, Duration::ZERO), |(count, room, sum), (_, member)| {
@@ -194,7 +195,7 @@
         let ahead = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
         let answer = answers / members;
         let expected = answer.saturating_mul(ahead) / room.max(1);
-        expected > current.route.target_latency.max(SHORT_WAIT)
+        expected > current.route.statement_timeout * SERVABLE_PERCENT / 100
     }
 
     /// Serves the waiting statements of a group as far as connections go.
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -30,8 +30,11 @@
 /// How long a member that had no connection left lends none beyond a VM's part.
 const FULL_MEMORY: Duration = Duration::from_secs(2);
 
-/// How long a replica that lacked a position gets only reads that it is known to have.
-const LAG_MEMORY: Duration = Duration::from_millis(150);
+/// How long a replica that lacked a position gets only reads that it is known to have, at first.
+const FIRST_LAG_MEMORY: Duration = Duration::from_millis(150);
+
+/// The longest such time. Each read that finds out costs a round trip, and perhaps a connection.
+const LONGEST_LAG_MEMORY: Duration = Duration::from_millis(1_200);
 
 /// The first wait before a member that failed is tried again.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
@@ -46,7 +49,7 @@
 const LARGEST_LIMIT: f64 = 64.0;
 
 /// How much the limit grows with a limit's number of answers.
-const LIMIT_STEP: f64 = 0.2;
+const LIMIT_STEP: f64 = 0.5;
 
 /// The shortest time between two cuts of the limit: about one queue of an overloaded member, so
 /// that refusals that were under way with the first cut cause no second one.
@@ -100,6 +103,7 @@
     retry: Duration,
     pub(crate) position: Option<Position>,
     lagging_until: MonoTime,
+    lag_memory: Duration,
     denied_until: MonoTime,
     /// Since when the member has denied the lead without proving it.
     pub(crate) denied_since: Option<MonoTime>,
@@ -133,6 +137,7 @@
             retry: FIRST_RETRY,
             position: None,
             lagging_until: MonoTime::ZERO,
+            lag_memory: FIRST_LAG_MEMORY,
             denied_until: MonoTime::ZERO,
             denied_since: None,
             answer: INITIAL_ANSWER,
@@ -243,7 +248,16 @@
 
     /// Notes that the member's log lacked a position.
     pub(crate) fn lagged(&mut self, now: MonoTime) {
-        self.lagging_until = now + LAG_MEMORY;
+        // Answers to reads that were under way together count once.
+        if now >= self.lagging_until {
+            self.lagging_until = now + self.lag_memory;
+            self.lag_memory = (self.lag_memory * 2).min(LONGEST_LAG_MEMORY);
+        }
+    }
+
+    /// Notes that the member had the position that a read asked for.
+    pub(crate) fn kept_up(&mut self) {
+        self.lag_memory = FIRST_LAG_MEMORY;
     }
 
     /// Notes that the member says that it is not the primary.
