--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -100,6 +100,28 @@
             emit_budgeted(&events::FAILOVER_STEP, &values);
         }
         Report::StatementFailed { .. } => write_failure(report),
+        Report::StatementLate {
+            caller,
+            id,
+            group,
+            member,
+            last_fault,
+            attempts,
+            waited,
+            elapsed,
+        } => {
+            let values = [
+                caller.0.into(),
+                id.as_str().into(),
+                group.as_str().into(),
+                member.as_str().into(),
+                last_fault.map_or(NOTHING, MemberFault::as_str).into(),
+                (*attempts).into(),
+                millis(*waited),
+                millis(*elapsed),
+            ];
+            emit_budgeted(&events::STATEMENT_LATE, &values);
+        }
         Report::StoreBack { outage } => emit(&events::STORE_BACK, &[millis(*outage)]),
         Report::StopStarted { sessions } => {
             emit(&events::STOP_STARTED, &[(*sessions).into()]);
--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -525,6 +525,19 @@
                 let Some(current) = session.current.take() else {
                     return;
                 };
+                let elapsed = now.since(current.started_at);
+                if elapsed > current.route.target_latency {
+                    actions.push(PoolAction::Report(Report::StatementLate {
+                        caller,
+                        id: current.id.clone(),
+                        group: group.clone(),
+                        member: member.clone(),
+                        last_fault: current.last_fault,
+                        attempts: current.attempts,
+                        waited: current.placed_at.since(current.started_at),
+                        elapsed,
+                    }));
+                }
                 let is_commit = matches!(current.work, Work::Commit);
                 let is_write = current.work.access() == Access::Write;
                 let has_committed = match &mut session.transaction {
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -465,6 +465,7 @@
             return;
         };
         current.stage = Stage::OnLink(id);
+        current.placed_at = now;
         current.last_member = Some(link.member.clone());
         let is_new_owner = link.owner != Owner::Caller(caller);
         link.owner = Owner::Caller(caller);
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -275,6 +275,25 @@
         /// Time since the statement arrived.
         elapsed: Duration,
     },
+    /// A caller got its result later than the route's objective.
+    StatementLate {
+        /// The caller.
+        caller: CallerId,
+        /// The identifier that the caller gave the statement.
+        id: String,
+        /// The group.
+        group: GroupId,
+        /// The member that ran the statement.
+        member: MemberId,
+        /// What the last member that did not run the statement said.
+        last_fault: Option<MemberFault>,
+        /// Attempts that ended without a result.
+        attempts: u32,
+        /// Time from the arrival of the statement to its connection.
+        waited: Duration,
+        /// Time since the statement arrived.
+        elapsed: Duration,
+    },
     /// The store answers again.
     StoreBack {
         /// Time without an answer.
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -307,6 +307,7 @@
             work,
             route,
             started_at: now,
+            placed_at: now,
             stage: Stage::Admission,
             excluded: SmallVec::new(),
             last_member: None,
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -87,6 +87,8 @@
     pub(crate) work: Work,
     pub(crate) route: Rc<RouteRule>,
     pub(crate) started_at: MonoTime,
+    /// When the statement got its connection, in the latest attempt.
+    pub(crate) placed_at: MonoTime,
     pub(crate) stage: Stage,
     /// Members that could not run the statement.
     pub(crate) excluded: SmallVec<[MemberId; 2]>,
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -72,4 +72,5 @@
     &LINES_LEFT_OUT,
     &STOP_STARTED,
     &STOP_FINISHED,
+    &STATEMENT_LATE,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -168,3 +168,22 @@
     "planned stop is over; open sessions are cut",
     &["sessions"],
 );
+
+/// LD-I-1116: statement was answered later than the objective of its route.
+pub const STATEMENT_LATE: EventKind = event(
+    "LD-I-1116",
+    "statement_late",
+    Level::Info,
+    POOL,
+    "statement was answered later than the objective of its route",
+    &[
+        "caller",
+        "statement",
+        "group",
+        "member",
+        "last_fault",
+        "attempts",
+        "waited_ms",
+        "elapsed_ms",
+    ],
+);
