Keep a third of a member's connections free for VMs that start again

Ruled out: the start itself, the store, the configuration. The VMs use two thirds of the connections together.

--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -57,6 +57,11 @@
 /// Part of a staleness bound that is left for the way to the member and for clock granularity.
 const STALENESS_MARGIN: Duration = Duration::from_millis(100);
 
+/// Part of a member's connections that the VMs use together, in percent. Members drop connections
+/// of a VM without power only after seconds; the rest lets VMs that have started again connect at
+/// once, and others borrow.
+const USED_PERCENT: u64 = 67;
+
 /// What a statement needs of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Need {
@@ -405,7 +410,8 @@
         let rule = self.catalogue.groups.get(group);
         let limit = rule.map_or(1, |rule| rule.max_connections);
         let vms = u32::try_from(self.roster.len()).unwrap_or(u32::MAX);
-        (limit / vms).max(1)
+        let usual = u64::from(limit) * USED_PERCENT / 100;
+        (u32::try_from(usual).unwrap_or(u32::MAX) / vms).max(1)
     }
 
     fn cost(&self, group: &Group, id: &MemberId, member: &Member, choice: &Choice) -> Duration {
