--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -14,7 +14,7 @@
 use lycheedoor_telemetry::metrics;
 
 const EVENTS_PAGE: &str = include_str!("../../../docs/events.md");
-const OPERATIONS_PAGE: &str = include_str!("../../../docs/operations.md");
+const OPERATIONS_PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 const METRICS_PAGE: &str = include_str!("../../../docs/metrics.md");
 
 fn quoted(names: &[&str]) -> String {
