Remove the records of VMs that are gone for good

Each VM asks its neighbour by name every 2 s and removes its record after 20 s of silence. A VM that reaches neither store nor peers spends nothing of its share after 14 s. The part of the connections is rounded to the nearest.

--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -11,6 +11,8 @@
     Put,
     /// Sends a message.
     Post,
+    /// Removes an object.
+    Delete,
 }
 
 impl Method {
@@ -20,11 +22,12 @@
             Self::Get => "GET",
             Self::Put => "PUT",
             Self::Post => "POST",
+            Self::Delete => "DELETE",
         }
     }
 
     pub(crate) fn parse(name: &str) -> Option<Self> {
-        [Self::Get, Self::Put, Self::Post]
+        [Self::Get, Self::Put, Self::Post, Self::Delete]
             .into_iter()
             .find(|method| method.as_str() == name)
     }
--- a/crates/node/src/borders.rs
+++ b/crates/node/src/borders.rs
@@ -111,7 +111,10 @@
         out: &mut Vec<u8>,
     );
 
-    /// Returns what the response to a write means.
+    /// Appends the removal of a record as a whole request.
+    fn encode_removal(&self, name: &str, expected: u64, out: &mut Vec<u8>);
+
+    /// Returns what the response to a write or removal means.
     fn decode_write(&self, response: &Response) -> WriteOutcome;
 }
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -174,6 +174,7 @@
                 record,
                 expected,
             } => self.write_store(cx, &name, &record, expected),
+            PoolAction::RemoveRecord { name, expected } => self.remove_record(cx, &name, expected),
             PoolAction::Promote {
                 group,
                 member,
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -122,6 +122,9 @@
             ];
             emit_budgeted(&events::STATEMENT_LATE, &values);
         }
+        Report::VmRemoved { vm, silence } => {
+            emit_budgeted(&events::VM_REMOVED, &[vm.as_str().into(), millis(*silence)]);
+        }
         Report::StoreBack { outage } => emit(&events::STORE_BACK, &[millis(*outage)]),
         Report::StopStarted { sessions } => {
             emit(&events::STOP_STARTED, &[(*sessions).into()]);
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -219,6 +219,14 @@
         self.next_write(cx);
     }
 
+    pub(crate) fn remove_record(&mut self, cx: CX![], name: &str, expected: u64) {
+        let mut bytes = Vec::new();
+        let store = &self.borders.store;
+        store.encode_removal(name, expected, &mut bytes);
+        self.writer.queue.push_back((name.to_owned(), bytes));
+        self.next_write(cx);
+    }
+
     fn next_write(&mut self, cx: CX![]) {
         if self.writer.call.is_some() {
             return;
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -58,6 +58,10 @@
             return self.token_taken(now, caller, actions);
         }
         let deadline = current.started_at + current.route.statement_timeout;
+        if self.is_isolated(now) {
+            let cause = "neither the store nor another VM is in reach";
+            return self.fail_current(now, caller, CallerError::Busy, cause, actions);
+        }
         self.admitting.insert(request, caller);
         let event = RatesEvent::Admit {
             workspace: workspace.clone(),
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -411,7 +411,9 @@
         let limit = rule.map_or(1, |rule| rule.max_connections);
         let vms = u32::try_from(self.roster.len()).unwrap_or(u32::MAX);
         let usual = u64::from(limit) * USED_PERCENT / 100;
-        (u32::try_from(usual).unwrap_or(u32::MAX) / vms).max(1)
+        let usual = u32::try_from(usual).unwrap_or(u32::MAX);
+        // Rounded to the nearest: the third that stays free covers what that is too much.
+        (usual.saturating_add(vms / 2) / vms).max(1)
     }
 
     fn cost(&self, group: &Group, id: &MemberId, member: &Member, choice: &Choice) -> Duration {
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -294,6 +294,13 @@
         /// Time since the statement arrived.
         elapsed: Duration,
     },
+    /// A VM has not answered for so long that its record is removed.
+    VmRemoved {
+        /// The VM.
+        vm: VmId,
+        /// Time without an answer.
+        silence: Duration,
+    },
     /// The store answers again.
     StoreBack {
         /// Time without an answer.
@@ -362,6 +369,13 @@
         /// The revision that the record must have.
         expected: Option<u64>,
     },
+    /// Remove a record of the fleet if it has the expected revision.
+    RemoveRecord {
+        /// The name of the record.
+        name: String,
+        /// The revision that the record must have.
+        expected: u64,
+    },
     /// Order the promotion of a member.
     Promote {
         /// The group.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod link;
 mod message;
+mod neighbour;
 mod pool;
 mod probe;
 mod requests;
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -11,6 +11,10 @@
 pub enum PoolMessage {
     /// A message between the rates roles.
     Rates(RatesMessage),
+    /// Asks whether the receiver runs.
+    Ping,
+    /// Answers `Ping`.
+    Pong,
     /// Asks when the receiver last heard a member that the sender cannot reach.
     AskContact {
         /// The group of the member.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -29,6 +29,7 @@
 use crate::group::MemberEntry;
 use crate::link::Link;
 use crate::message::PoolMessage;
+use crate::neighbour::Neighbour;
 use crate::roster::FleetRecord;
 use crate::roster::Roster;
 use crate::roster::RosterVm;
@@ -100,6 +101,7 @@
     store_lost_since: Option<MonoTime>,
     pub(crate) store_heard_at: MonoTime,
     is_ready: bool,
+    pub(crate) neighbour: Neighbour,
     pub(crate) stop: Option<Stop>,
     next_tick: MonoTime,
     last_event_at: MonoTime,
@@ -129,6 +131,7 @@
             store_lost_since: None,
             store_heard_at: MonoTime::ZERO,
             is_ready: false,
+            neighbour: Neighbour::default(),
             stop: None,
             next_tick: MonoTime::ZERO,
             last_event_at: MonoTime::ZERO,
@@ -223,6 +226,7 @@
         if self.registration_due.is_some_and(|due| due <= now) {
             self.register(now, actions);
         }
+        self.watch_neighbour(now, actions);
         self.check_time_limits(now, actions);
         self.check_links(now, actions);
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
@@ -244,6 +248,8 @@
         for group in self.groups.values_mut() {
             group.failover = Failover::default();
         }
+        self.neighbour = Neighbour::default();
+        self.neighbour.heard_at = now;
     }
 
     /// Looks at all time limits at the next call.
@@ -516,13 +522,26 @@
             let group = GroupId::from(group);
             return self.claim_answered(now, &group, outcome, actions);
         }
-        if matches!(outcome, WriteOutcome::Conflict { .. }) {
+        let is_own = name.strip_prefix(VM_RECORD_PREFIX) == Some(self.settings.vm.as_str());
+        if is_own && matches!(outcome, WriteOutcome::Conflict { .. }) {
             // The next attempt uses the revision just learned.
             self.registration_due = Some(now);
         }
         self.settle_readiness(now, actions);
     }
 
+    /// Returns the name of a VM's record and the revision it is known to have.
+    pub(crate) fn vm_record(&self, vm: &VmId) -> (String, Option<u64>) {
+        let name = format!("{VM_RECORD_PREFIX}{vm}");
+        let revision = self.record_revisions.get(&name).copied();
+        (name, revision)
+    }
+
+    /// Returns since when the store has not answered.
+    pub(crate) fn store_lost_since(&self) -> Option<MonoTime> {
+        self.store_lost_since
+    }
+
     /// Returns the name of a group's record and the revision it is known to have.
     pub(crate) fn group_record(&self, group: &GroupId) -> (String, Option<u64>) {
         let name = format!("{GROUP_RECORD_PREFIX}{group}");
@@ -558,7 +577,10 @@
         message: PoolMessage,
         actions: &mut Vec<PoolAction>,
     ) {
+        self.neighbour.heard_at = now;
         match message {
+            PoolMessage::Ping => self.send_peer(from, PoolMessage::Pong, actions),
+            PoolMessage::Pong => self.neighbour.answered(now, from),
             PoolMessage::Rates(message) => {
                 let event = RatesEvent::Received {
                     from: from.clone(),
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -85,6 +85,15 @@
         self.vms.len().max(1)
     }
 
+    /// Returns the next other VM by name, after the last one the first.
+    pub(crate) fn next_after(&self, vm: &VmId) -> Option<VmId> {
+        let others = || self.vms.keys().filter(|other| *other != vm);
+        let next = others()
+            .find(|other| *other > vm)
+            .or_else(|| others().next());
+        next.cloned()
+    }
+
     pub(crate) fn names(&self) -> impl Iterator<Item = &VmId> {
         self.vms.keys()
     }
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -73,4 +73,5 @@
     &STOP_STARTED,
     &STOP_FINISHED,
     &STATEMENT_LATE,
+    &VM_REMOVED,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -187,3 +187,13 @@
         "elapsed_ms",
     ],
 );
+
+/// LD-W-1117: other VM is taken as gone; its record is removed.
+pub const VM_REMOVED: EventKind = event(
+    "LD-W-1117",
+    "vm_removed",
+    Level::Warn,
+    POOL,
+    "other VM is taken as gone; its record is removed",
+    &["vm", "silence_ms"],
+);
