--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -44,6 +44,9 @@
 /// that fires a little early by the pool's would be set again and again until the time has come.
 const TIMER_SLACK: Duration = Duration::from_millis(1);
 
+/// Time between two calls that bound the memory of histograms.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// A socket whose output has to be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Dirty {
@@ -61,6 +64,7 @@
     pub(crate) addresses: Addresses,
     pub(crate) metrics: MetricsHandle,
     log: LogBuffer,
+    upkeep_due: MonoTime,
     check_settings: Box<dyn Fn() -> Result<(), String>>,
     pub(crate) next_socket: u64,
     pub(crate) callers: BTreeMap<u64, CallerConnection>,
@@ -92,6 +96,7 @@
             addresses: setup.addresses,
             metrics: setup.metrics,
             log: setup.log,
+            upkeep_due: MonoTime::ZERO,
             check_settings: setup.check_settings,
             next_socket: 0,
             callers: BTreeMap::new(),
@@ -225,6 +230,11 @@
         self.timer = None;
         self.report(cx, PoolEvent::DeadlineReached);
         self.log.flush();
+        let now = self.now(cx.now());
+        if now >= self.upkeep_due {
+            self.upkeep_due = now + UPKEEP_INTERVAL;
+            self.metrics.run_upkeep();
+        }
     }
 
     pub(crate) fn stop_signal(&mut self, cx: CX![], _: Ready) {
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use lycheedoor_pool::Access;
+use lycheedoor_pool::CallerError;
 use lycheedoor_pool::MemberFault;
 use lycheedoor_pool::Report;
 use lycheedoor_telemetry::FieldValue;
@@ -10,9 +12,13 @@
 use lycheedoor_telemetry::emit_limited;
 use lycheedoor_telemetry::events;
 use lycheedoor_telemetry::metrics::CONFIG_VERSION;
+use lycheedoor_telemetry::metrics::READS;
 use lycheedoor_telemetry::metrics::REFUSALS;
+use lycheedoor_telemetry::metrics::STATEMENT_SECONDS;
+use lycheedoor_telemetry::metrics::STATEMENTS;
 use metrics::counter;
 use metrics::gauge;
+use metrics::histogram;
 
 /// What stands for something that is not known.
 const NOTHING: &str = "-";
@@ -99,6 +105,7 @@
             ];
             emit_budgeted(&events::FAILOVER_STEP, &values);
         }
+        Report::StatementDone { .. } => count_statement(report),
         Report::StatementFailed { .. } => write_failure(report),
         Report::StatementLate {
             caller,
@@ -135,6 +142,34 @@
     }
 }
 
+fn count_statement(report: &Report) {
+    let Report::StatementDone {
+        workspace,
+        route,
+        group,
+        access,
+        by_primary,
+        elapsed,
+    } = report
+    else {
+        return;
+    };
+    let labels = [
+        ("workspace", workspace.to_string()),
+        ("outcome", "answered".to_owned()),
+    ];
+    counter!(STATEMENTS.name, &labels).increment(1);
+    if *access == Access::Read {
+        let served_by = if *by_primary { "primary" } else { "replica" };
+        let labels = [
+            ("group", group.to_string()),
+            ("served_by", served_by.to_owned()),
+        ];
+        counter!(READS.name, &labels).increment(1);
+    }
+    histogram!(STATEMENT_SECONDS.name, "route" => route.clone()).record(elapsed.as_secs_f64());
+}
+
 fn write_failure(report: &Report) {
     let Report::StatementFailed {
         caller,
@@ -157,6 +192,15 @@
         ("sqlstate", error.as_str().to_owned()),
     ];
     counter!(REFUSALS.name, &labels).increment(1);
+    let outcome = match error {
+        CallerError::InDoubt | CallerError::TimedOut | CallerError::Failed => "unknown",
+        _ => "not_run",
+    };
+    let labels = [
+        ("workspace", workspace.to_string()),
+        ("outcome", outcome.to_owned()),
+    ];
+    counter!(STATEMENTS.name, &labels).increment(1);
     let values = [
         caller.0.into(),
         id.as_str().into(),
--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -526,6 +526,18 @@
                     return;
                 };
                 let elapsed = now.since(current.started_at);
+                let known = self.groups.get(&group);
+                let primary = known.and_then(|group| group.primary.as_ref());
+                if let Some(opened) = &session.opened {
+                    actions.push(PoolAction::Report(Report::StatementDone {
+                        workspace: opened.workspace.clone(),
+                        route: opened.database.clone(),
+                        group: group.clone(),
+                        access: current.work.access(),
+                        by_primary: primary == Some(&member),
+                        elapsed,
+                    }));
+                }
                 if elapsed > current.route.target_latency {
                     actions.push(PoolAction::Report(Report::StatementLate {
                         caller,
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -15,6 +15,7 @@
 
 use crate::message::PoolMessage;
 use crate::roster::FleetRecord;
+use crate::statement::Access;
 use crate::statement::CallerError;
 use crate::statement::CallerRequest;
 use crate::statement::MemberAnswer;
@@ -275,6 +276,21 @@
         /// Time since the statement arrived.
         elapsed: Duration,
     },
+    /// A caller got its result from a member.
+    StatementDone {
+        /// The workspace.
+        workspace: WorkspaceId,
+        /// The database that the caller opened, which names the route.
+        route: String,
+        /// The group.
+        group: GroupId,
+        /// Whether the statement reads or writes.
+        access: Access,
+        /// Whether the primary ran it.
+        by_primary: bool,
+        /// Time since the statement arrived.
+        elapsed: Duration,
+    },
     /// A caller got its result later than the route's objective.
     StatementLate {
         /// The caller.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -46,13 +46,13 @@
     description: "statements by outcome: answered, not_run or unknown",
 };
 
-/// Measures refused statements and log-ins by SQLSTATE.
+/// Measures refused statements and log-ins by SQLSTATE, or by kind of refusal where there is none.
 pub const REFUSALS: MetricKind = MetricKind {
     name: "lycheedoor_refusals_total",
     metric_type: MetricType::Counter,
     unit: metrics::Unit::Count,
     labels: &["workspace", "sqlstate"],
-    description: "refused statements and log-ins by SQLSTATE",
+    description: "refused statements and log-ins by SQLSTATE, or by kind of refusal where there is none",
 };
 
 /// Measures reads by the role of the member that served them: primary or replica.
