--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -60,7 +60,7 @@
 pub(crate) const NANOS_PER_MILLITOKEN: u64 = 1_000_000;
 
 /// How long a request waits for a token before it is refused.
-const MAX_WAIT: Duration = Duration::from_millis(100);
+pub const MAX_WAIT: Duration = Duration::from_millis(100);
 
 /// How long a loan lives at the borrower, from when it sent the ask. A killed borrower takes its
 /// loans out of service for this time.
@@ -83,6 +83,7 @@
 #[derive(Clone, Debug)]
 pub struct Rates {
     lending: Lending,
+    max_wait: Duration,
     slots: Vec<(u16, MonoTime)>,
     usable: BTreeSet<u16>,
     slot_count: u16,
@@ -113,6 +114,7 @@
     pub fn new(lending: Lending) -> Self {
         Self {
             lending,
+            max_wait: MAX_WAIT,
             slots: Vec::new(),
             usable: BTreeSet::new(),
             slot_count: 0,
@@ -132,6 +134,11 @@
         }
     }
 
+    /// Sets how long a request waits for a token from now on; [`MAX_WAIT`] at first.
+    pub fn set_max_wait(&mut self, max_wait: Duration) {
+        self.max_wait = max_wait;
+    }
+
     /// Takes an event and appends the actions that follow from it.
     pub fn handle(&mut self, now: MonoTime, event: RatesEvent, actions: &mut Vec<RatesAction>) {
         self.check_lease(now, actions);
@@ -362,7 +369,7 @@
         if account.waiting.len() >= account.max_waiting {
             return actions.push(refused(Reason::OverRate));
         }
-        let until = deadline.min(now + MAX_WAIT);
+        let until = deadline.min(now + self.max_wait);
         let first = account.next_timeout.map_or(until, |first| first.min(until));
         account.next_timeout = Some(first);
         account.waiting.push_back(Waiting { request, until });
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lycheedoor_core::rates::MAX_WAIT;
 use lycheedoor_core::rates::Rates;
 use lycheedoor_core::rates::RatesEvent;
 use lycheedoor_core::types::CallerId;
@@ -58,6 +59,13 @@
 /// Time between attempts to record this VM in the store.
 const REGISTRATION_RETRY: Duration = Duration::from_millis(500);
 
+/// How long an operation waits for a token after the start of the VM. Its buckets begin empty, and
+/// after a restart of all VMs nobody can lend; most tokens come within this time.
+const START_WAIT: Duration = Duration::from_millis(600);
+
+/// How long after its start a VM lets operations wait so.
+const START_TIME: Duration = Duration::from_secs(3);
+
 const VM_RECORD_PREFIX: &str = "vm.";
 const GROUP_RECORD_PREFIX: &str = "group.";
 
@@ -101,6 +109,8 @@
     store_lost_since: Option<MonoTime>,
     pub(crate) store_heard_at: MonoTime,
     is_ready: bool,
+    /// When the time after the start ends in which buckets are empty.
+    start_ends: Option<MonoTime>,
     pub(crate) neighbour: Neighbour,
     pub(crate) stop: Option<Stop>,
     next_tick: MonoTime,
@@ -131,6 +141,7 @@
             store_lost_since: None,
             store_heard_at: MonoTime::ZERO,
             is_ready: false,
+            start_ends: None,
             neighbour: Neighbour::default(),
             stop: None,
             next_tick: MonoTime::ZERO,
@@ -226,6 +237,10 @@
         if self.registration_due.is_some_and(|due| due <= now) {
             self.register(now, actions);
         }
+        if self.start_ends.is_some_and(|end| end <= now) {
+            self.start_ends = None;
+            self.rates.set_max_wait(MAX_WAIT);
+        }
         self.watch_neighbour(now, actions);
         self.check_time_limits(now, actions);
         self.check_links(now, actions);
@@ -565,6 +580,8 @@
         let is_ready = is_loaded && is_registered && self.catalogue.version > 0;
         if is_ready && !self.is_ready && self.stop.is_none() {
             self.is_ready = true;
+            self.rates.set_max_wait(START_WAIT);
+            self.start_ends = Some(now + START_TIME);
             actions.push(PoolAction::SetReady(true));
         }
     }
--- a/crates/pool/tests/rates.rs
+++ b/crates/pool/tests/rates.rs
@@ -120,3 +120,30 @@
         Some(CallerReply::Done { .. })
     ));
 }
+
+/// Guards against refusals within the rate after all VMs were restarted: buckets begin empty, and
+/// the callers of all VMs come back at once.
+#[test]
+fn operations_right_after_the_start_wait_for_their_tokens() {
+    let mut limited = catalogue(1);
+    let rule = RateRule {
+        per_s: 20,
+        burst: 20,
+    };
+    limited.rates.insert(WorkspaceId::from("acme"), rule);
+    let mut rig = Rig::start(&[], limited);
+    // The share is usable after 300 ms, so tokens for 16 come in time.
+    let callers: Vec<_> = (0..14).map(|_| rig.session("primary-db")).collect();
+    for caller in &callers {
+        rig.query(*caller, "WRITE x 1");
+    }
+    for _ in 0..200 {
+        rig.advance(5);
+        rig.serve(1);
+    }
+    let is_done = |caller: &&lycheedoor_core::types::CallerId| {
+        matches!(rig.last_reply(**caller), Some(CallerReply::Done { .. }))
+    };
+    let served = callers.iter().filter(is_done).count();
+    assert_eq!(served, callers.len());
+}
