--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -1,5 +1,6 @@
 //! Tokens of the workspaces: each operation takes one before it is served.
 
+use lycheedoor_core::rates::MAX_WAIT;
 use lycheedoor_core::rates::RatesAction;
 use lycheedoor_core::rates::RatesEvent;
 use lycheedoor_core::types::CallerId;
@@ -14,6 +15,11 @@
 use crate::session::Work;
 use crate::statement::CallerError;
 
+/// How long an operation may wait for a token, in percent of its route's objective. A result that
+/// is somewhat late is worth more to the caller than none; one that waits for longer is better
+/// tried again, at a VM that may have tokens.
+const WAIT_PERCENT: u32 = 150;
+
 impl Pool {
     /// Passes an event to the rates role and carries out what it decides.
     pub(crate) fn run_rates(
@@ -57,7 +63,8 @@
             // Only a caller of a public route belongs to no workspace, and no rate holds for it.
             return self.token_taken(now, caller, actions);
         }
-        let deadline = current.started_at + current.route.statement_timeout;
+        let wait = current.route.target_latency * WAIT_PERCENT / 100;
+        let deadline = current.started_at + wait.max(MAX_WAIT);
         if self.is_isolated(now) {
             let cause = "neither the store nor another VM is in reach";
             return self.fail_current(now, caller, CallerError::Busy, cause, actions);
