--- a/crates/core/src/rates/account.rs
+++ b/crates/core/src/rates/account.rs
@@ -32,6 +32,9 @@
 const MIN_ASK_PAUSE: Duration = Duration::from_millis(10);
 const MAX_ASK_PAUSE: Duration = Duration::from_millis(320);
 
+/// The pause from which on peers count as having no tokens: after four rounds that brought none.
+const DRY_PAUSE: Duration = Duration::from_millis(160);
+
 /// A request that waits for a token.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiting {
@@ -179,6 +182,22 @@
         self.available().saturating_sub(kept)
     }
 
+    /// Returns whether the latest rounds of asks have brought nothing.
+    pub(crate) fn is_dry(&self) -> bool {
+        self.ask_pause >= DRY_PAUSE && !self.tokens_arrived
+    }
+
+    /// Returns how long one more request would wait for its token without help of a peer.
+    pub(crate) fn expected_wait(&self) -> Duration {
+        let needed = (self.waiting.len() as u64 + 1) * TOKEN;
+        let missing = needed.saturating_sub(self.available());
+        match self.stream() {
+            _ if missing == 0 => Duration::ZERO,
+            0 => Duration::MAX,
+            stream => Duration::from_micros(missing.div_ceil(stream)),
+        }
+    }
+
     /// Starts the pause before the next round of asks for tokens.
     pub(crate) fn pause_asks(&mut self, now: MonoTime) {
         let pause = self.ask_pause.max(MIN_ASK_PAUSE);
--- a/crates/pool/tests/rates.rs
+++ b/crates/pool/tests/rates.rs
@@ -147,3 +147,29 @@
     let served = callers.iter().filter(is_done).count();
     assert_eq!(served, callers.len());
 }
+
+/// Guards against callers that wait for a refusal: in a flood of a workspace, tokens that cannot
+/// come in time are known not to come.
+#[test]
+fn flood_is_refused_at_once_when_no_tokens_can_come() {
+    let mut limited = catalogue(1);
+    let rule = RateRule {
+        per_s: 20,
+        burst: 20,
+    };
+    limited.rates.insert(WorkspaceId::from("acme"), rule);
+    let mut rig = Rig::start(&[], limited);
+    rig.advance(4_000);
+    // Ten times the rate for two seconds.
+    let mut at_once = 0;
+    for number in 0..400 {
+        let caller = rig.session("primary-db");
+        rig.query(caller, "WRITE x 1");
+        let is_refused = matches!(rig.last_reply(caller), Some(CallerReply::Failed { .. }));
+        at_once += u32::from(is_refused && number >= 200);
+        rig.serve(1);
+        rig.advance(5);
+    }
+    // In the second half at most 20 of 200 get a token, and a few wait for one.
+    assert!(at_once >= 160, "{at_once} of 200 refused at once");
+}
