--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 use lycheedoor_net::ReadOutcome;
 use lycheedoor_net::Socket;
@@ -34,7 +35,7 @@
     socket: Socket,
     codec: PeerClientCodec,
     is_connected: bool,
-    opened_at: lycheedoor_core::types::MonoTime,
+    opened_at: MonoTime,
 }
 
 /// A connection from another VM.
--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -2,7 +2,6 @@
 
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::ConnectionId;
-use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
@@ -10,11 +9,10 @@
 
 use crate::event::CallerReply;
 use crate::event::PoolAction;
-use crate::event::Report;
-use crate::link::Link;
 use crate::link::Owner;
 use crate::link::Purpose;
 use crate::pool::Pool;
+use crate::report::Report;
 use crate::session::Stage;
 use crate::session::Work;
 use crate::statement::Access;
@@ -62,7 +60,7 @@
     }
 
     /// Notes that a member has answered.
-    fn note_heard(
+    pub(crate) fn note_heard(
         &mut self,
         now: MonoTime,
         id: ConnectionId,
@@ -81,261 +79,6 @@
         }
     }
 
-    /// Notes that a member did not answer.
-    pub(crate) fn note_failed(
-        &mut self,
-        now: MonoTime,
-        group: &GroupId,
-        member: &MemberId,
-        cause: &'static str,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let known = self
-            .groups
-            .get_mut(group)
-            .and_then(|group| group.members.get_mut(member));
-        let Some(state) = known else {
-            return;
-        };
-        let silence = state
-            .heard_at
-            .map_or(Duration::ZERO, |heard| now.since(heard));
-        if state.failed(now) {
-            actions.push(PoolAction::Report(Report::MemberSuspected {
-                group: group.clone(),
-                member: member.clone(),
-                cause,
-                silence,
-            }));
-        }
-    }
-
-    pub(crate) fn link_refused(
-        &mut self,
-        now: MonoTime,
-        id: ConnectionId,
-        error: &MemberError,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(link) = self.links.get(&id) else {
-            return;
-        };
-        let (group, member) = (link.group.clone(), link.member.clone());
-        match error.fault {
-            // The member is there, and takes no further connection for now.
-            MemberFault::TooManyConnections | MemberFault::Busy => {
-                self.note_heard(now, id, None, actions);
-                let budget = self.link_budget(&group);
-                let is_overloaded = error.fault == MemberFault::Busy;
-                if let Some(member) = self.member_of(id) {
-                    member.pause(now);
-                    if is_overloaded {
-                        member.overloaded(now, budget);
-                    }
-                }
-            }
-            _ => self.note_failed(now, &group, &member, "connection refused", actions),
-        }
-        self.lose_link(now, id, actions);
-    }
-
-    pub(crate) fn link_closed(
-        &mut self,
-        now: MonoTime,
-        id: ConnectionId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(link) = self.links.get(&id) else {
-            return;
-        };
-        let (group, member) = (link.group.clone(), link.member.clone());
-        if !link.is_open || !link.is_quiet() {
-            self.note_failed(now, &group, &member, "connection lost", actions);
-        }
-        self.lose_link(now, id, actions);
-    }
-
-    /// Closes all connections to a member.
-    pub(crate) fn close_links_of(
-        &mut self,
-        now: MonoTime,
-        group: &GroupId,
-        member: &MemberId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let of_member = |link: &&Link| link.group == *group && link.member == *member;
-        let ids: Vec<_> = self
-            .links
-            .values()
-            .filter(of_member)
-            .map(|link| link.id)
-            .collect();
-        for id in ids {
-            actions.push(PoolAction::CloseLink { link: id });
-            self.lose_link(now, id, actions);
-        }
-    }
-
-    /// Closes a connection that nobody needs.
-    pub(crate) fn close_link(&mut self, id: ConnectionId, actions: &mut Vec<PoolAction>) {
-        self.forget_link(id);
-        actions.push(PoolAction::CloseLink { link: id });
-    }
-
-    fn forget_link(&mut self, id: ConnectionId) -> Option<Link> {
-        let is_busy = self
-            .links
-            .get(&id)
-            .is_some_and(|link| link.owner != Owner::Nobody);
-        if let Some(member) = self.member_of(id) {
-            member.links = member.links.saturating_sub(1);
-            member.busy = member.busy.saturating_sub(u32::from(is_busy));
-        }
-        self.links.remove(&id)
-    }
-
-    /// Takes a connection from its user; what it still has to answer is ignored.
-    pub(crate) fn free_link(
-        &mut self,
-        now: MonoTime,
-        id: ConnectionId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(link) = self.links.get_mut(&id) else {
-            return;
-        };
-        if link.owner != Owner::Nobody {
-            link.owner = Owner::Nobody;
-            link.used_at = now;
-            if let Some(member) = self.member_of(id) {
-                member.busy = member.busy.saturating_sub(1);
-            }
-        }
-        let group = self.links.get(&id).map(|link| link.group.clone());
-        let Some(group) = group else {
-            return;
-        };
-        self.dispatch_group(now, &group, actions);
-        let budget = self.link_budget(&group);
-        let is_borrowed = self
-            .member_of(id)
-            .is_some_and(|member| member.links > budget);
-        if is_borrowed && self.links.get(&id).is_some_and(Link::is_free) {
-            self.close_link(id, actions);
-        }
-    }
-
-    /// Ends the use of a connection by a caller that is gone or was answered already.
-    pub(crate) fn abandon_link(
-        &mut self,
-        now: MonoTime,
-        id: ConnectionId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(link) = self.links.get_mut(&id) else {
-            return;
-        };
-        link.drop_unsent();
-        if link.awaits_answer() || !link.is_open {
-            // Nobody waits for the answer, and the member rolls back what is open.
-            return self.close_link(id, actions);
-        }
-        self.roll_back_link(now, id, actions);
-    }
-
-    /// Forgets a connection that has ended and tells its user.
-    pub(crate) fn lose_link(
-        &mut self,
-        now: MonoTime,
-        id: ConnectionId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(link) = self.forget_link(id) else {
-            return;
-        };
-        if link.owner == Owner::Pool
-            && let Some(group) = self.groups.get_mut(&link.group)
-        {
-            group.is_sampling = false;
-        }
-        let Owner::Caller(caller) = link.owner else {
-            return;
-        };
-        let Some(session) = self.sessions.get_mut(&caller) else {
-            return;
-        };
-        let on_link = session
-            .current
-            .as_ref()
-            .filter(|current| current.stage == Stage::OnLink(id));
-        let Some(current) = on_link else {
-            if session
-                .transaction
-                .as_ref()
-                .is_some_and(|open| open.link == Some(id))
-            {
-                self.abort_transaction(now, caller, actions);
-            }
-            return;
-        };
-        let was_sent = link.has_sent_statement();
-        let is_commit = matches!(current.work, Work::Commit);
-        let is_read = current.work.access() == Access::Read && !is_commit;
-        let is_single = session.transaction.is_none();
-        let is_first = !link.in_transaction;
-        if is_commit && was_sent {
-            session.transaction = None;
-            let cause = "connection lost while committing";
-            return self.fail_current(now, caller, CallerError::InDoubt, cause, actions);
-        }
-        if was_sent && !is_read && is_single {
-            let cause = "connection lost after the write was sent";
-            return self.fail_current(now, caller, CallerError::InDoubt, cause, actions);
-        }
-        if is_single || is_first {
-            let excluded = was_sent.then_some(&link.member);
-            return self.try_again(now, caller, Duration::ZERO, excluded, actions);
-        }
-        self.abort_transaction(now, caller, actions);
-        let cause = "connection lost in the transaction";
-        self.fail_current(now, caller, CallerError::Aborted, cause, actions);
-    }
-
-    /// Puts the statement of a caller back into the queue.
-    fn try_again(
-        &mut self,
-        now: MonoTime,
-        caller: CallerId,
-        pause: Duration,
-        excluded: Option<&MemberId>,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(session) = self.sessions.get_mut(&caller) else {
-            return;
-        };
-        if let Some(transaction) = &mut session.transaction {
-            transaction.link = None;
-        }
-        let Some(current) = &mut session.current else {
-            return;
-        };
-        current.stage = Stage::Waiting;
-        current.attempts += 1;
-        current.not_before = now + pause;
-        if let Some(member) = excluded {
-            current.excluded.push(member.clone());
-        }
-        let members = self
-            .groups
-            .get(&current.route.group)
-            .map_or(0, |group| group.members.len());
-        if current.excluded.len() >= members {
-            current.excluded.clear();
-            current.needs_primary = true;
-        }
-        self.enqueue(now, caller, actions);
-    }
-
     pub(crate) fn link_answered(
         &mut self,
         now: MonoTime,
@@ -394,16 +137,6 @@
         }
     }
 
-    pub(crate) fn close_and_lose(
-        &mut self,
-        now: MonoTime,
-        id: ConnectionId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        actions.push(PoolAction::CloseLink { link: id });
-        self.lose_link(now, id, actions);
-    }
-
     fn transaction_opened(
         &mut self,
         now: MonoTime,
--- /dev/null
+++ b/crates/pool/src/directory.rs
@@ -0,0 +1,257 @@
+//! What the store says: configuration, members, data centres and the fleet.
+
+use std::sync::Arc;
+
+use lycheedoor_core::rates::RatesEvent;
+use lycheedoor_core::types::DataCentreId;
+use lycheedoor_core::types::GroupId;
+use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::VmId;
+
+use crate::event::PoolAction;
+use crate::member::Member;
+use crate::member::MemberEntry;
+use crate::pool::Pool;
+use crate::registration::GROUP_RECORD_PREFIX;
+use crate::registration::VM_RECORD_PREFIX;
+use crate::report::Report;
+use crate::roster::FleetRecord;
+use crate::roster::RosterVm;
+use crate::store::ObjectAnswer;
+use crate::store::ObjectChange;
+use crate::store::ObjectKind;
+use crate::store::ObjectValue;
+
+impl Pool {
+    pub(crate) fn objects_read(
+        &mut self,
+        now: MonoTime,
+        kind: ObjectKind,
+        answer: ObjectAnswer,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let is_lost = answer == ObjectAnswer::Unavailable;
+        if is_lost {
+            self.store_lost_since.get_or_insert(now);
+        } else {
+            self.store_heard_at = now;
+            if let Some(since) = self.store_lost_since.take() {
+                let outage = now.since(since);
+                actions.push(PoolAction::Report(Report::StoreBack { outage }));
+            }
+        }
+        let Some(follower) = self.followers.get_mut(&kind) else {
+            return;
+        };
+        let changes = follower.answered(now, answer);
+        let mut roster_changed = false;
+        for change in changes {
+            match kind {
+                ObjectKind::Configuration => self.apply_configuration(now, change, actions),
+                ObjectKind::Members => self.apply_member(now, change, actions),
+                ObjectKind::Evacuations => {
+                    let data_centre = DataCentreId::from(change.name.as_str());
+                    match change.value {
+                        Some(_) => self.evacuated.insert(data_centre),
+                        None => self.evacuated.remove(&data_centre),
+                    };
+                }
+                ObjectKind::Fleet => roster_changed |= self.apply_record(change, actions),
+            }
+        }
+        if roster_changed {
+            self.roster_changed(now, actions);
+        }
+        self.settle_readiness(now, actions);
+    }
+
+    fn apply_configuration(
+        &mut self,
+        now: MonoTime,
+        change: ObjectChange,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        match change.value {
+            Some(ObjectValue::Catalogue(catalogue))
+                if catalogue.version > self.catalogue.version =>
+            {
+                let version = catalogue.version;
+                self.catalogue = catalogue;
+                let config = Arc::new(self.catalogue.rates_config());
+                self.run_rates(now, RatesEvent::Configured(config), actions);
+                actions.push(PoolAction::Report(Report::ConfigurationApplied { version }));
+            }
+            Some(ObjectValue::Unusable(error)) => {
+                report_unusable(ObjectKind::Configuration, change.name, error, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn apply_member(&mut self, now: MonoTime, change: ObjectChange, actions: &mut Vec<PoolAction>) {
+        let revision = change.revision;
+        let entry = match change.value {
+            Some(ObjectValue::Member(entry)) => entry,
+            Some(ObjectValue::Unusable(error)) => {
+                report_unusable(ObjectKind::Members, change.name.clone(), error, actions);
+                return self.member_missing(now, &change.name, revision, actions);
+            }
+            _ => return self.member_missing(now, &change.name, revision, actions),
+        };
+        let group = self.groups.entry(entry.group.clone()).or_default();
+        let state = if entry.is_draining {
+            "draining"
+        } else {
+            "present"
+        };
+        report_member(&entry, state, revision, actions);
+        let id = entry.id.clone();
+        match group.members.get_mut(&id) {
+            Some(member) if member.entry.address == entry.address => {
+                member.update(entry.clone(), revision, now);
+            }
+            known => {
+                let moved = known.is_some();
+                let member = Member::new(entry.clone(), revision, now);
+                group.members.insert(id.clone(), member);
+                if moved {
+                    self.close_links_of(now, &entry.group, &id, actions);
+                }
+            }
+        }
+        self.refresh_group(now, &entry.group, actions);
+        self.dispatch_group(now, &entry.group, actions);
+    }
+
+    fn member_missing(
+        &mut self,
+        now: MonoTime,
+        name: &str,
+        revision: u64,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let groups = self.groups.values_mut();
+        let member = groups
+            .filter_map(|group| group.members.get_mut(name))
+            .next();
+        let Some(member) = member else {
+            return;
+        };
+        member.missing_since.get_or_insert(now);
+        let entry = member.entry.clone();
+        report_member(&entry, "gone", revision, actions);
+        self.refresh_group(now, &entry.group, actions);
+    }
+
+    /// Drops members that are gone and works out the primary again.
+    pub(crate) fn refresh_group(
+        &mut self,
+        now: MonoTime,
+        id: &GroupId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        let gone = group
+            .members
+            .iter()
+            .filter(|(_, member)| member.is_gone(now));
+        let gone: Vec<_> = gone.map(|(member, _)| member.clone()).collect();
+        for member in &gone {
+            group.members.remove(member);
+        }
+        if let Some(evidence) = group.settle_primary(now) {
+            actions.push(PoolAction::Report(Report::PrimaryChanged {
+                group: id.clone(),
+                member: group.primary.clone(),
+                evidence,
+            }));
+        }
+        for member in &gone {
+            self.close_links_of(now, id, member, actions);
+        }
+    }
+
+    fn apply_record(&mut self, change: ObjectChange, actions: &mut Vec<PoolAction>) -> bool {
+        let known = self
+            .record_revisions
+            .get(&change.name)
+            .copied()
+            .unwrap_or(0);
+        if change.revision < known {
+            return false;
+        }
+        match &change.value {
+            Some(_) => self
+                .record_revisions
+                .insert(change.name.clone(), change.revision),
+            None => self.record_revisions.remove(&change.name),
+        };
+        let vm = change.name.strip_prefix(VM_RECORD_PREFIX).map(VmId::from);
+        match (vm, change.value) {
+            (
+                Some(vm),
+                Some(ObjectValue::Fleet(FleetRecord::Vm {
+                    incarnation,
+                    address,
+                })),
+            ) => {
+                let entry = RosterVm {
+                    incarnation,
+                    address,
+                };
+                self.roster.set(vm, entry, change.revision)
+            }
+            (Some(vm), None) => self.roster.remove(&vm, change.revision),
+            (_, Some(ObjectValue::Unusable(error))) => {
+                report_unusable(ObjectKind::Fleet, change.name, error, actions);
+                false
+            }
+            (None, Some(ObjectValue::Fleet(record))) => {
+                self.claim_seen(&change.name, &record, change.revision);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    fn claim_seen(&mut self, name: &str, record: &FleetRecord, revision: u64) {
+        let FleetRecord::Promotion { holder, .. } = record else {
+            return;
+        };
+        let Some(group) = name.strip_prefix(GROUP_RECORD_PREFIX) else {
+            return;
+        };
+        let is_own = *holder == self.settings.vm;
+        let now = self.last_event_at;
+        if let Some(group) = self.groups.get_mut(group) {
+            group.failover.claim_seen(now, revision, is_own);
+        }
+    }
+
+    fn roster_changed(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
+        let view = self.roster.view(&self.settings.vm, now);
+        self.run_rates(now, RatesEvent::Roster(view), actions);
+    }
+}
+
+fn report_unusable(kind: ObjectKind, name: String, error: String, actions: &mut Vec<PoolAction>) {
+    let report = Report::ObjectUnusable { kind, name, error };
+    actions.push(PoolAction::Report(report));
+}
+
+fn report_member(
+    entry: &MemberEntry,
+    state: &'static str,
+    revision: u64,
+    actions: &mut Vec<PoolAction>,
+) {
+    actions.push(PoolAction::Report(Report::MemberChanged {
+        group: entry.group.clone(),
+        member: entry.id.clone(),
+        state,
+        claims_primary: entry.claims_primary,
+        revision,
+    }));
+}
--- a/crates/pool/src/neighbour.rs
+++ b/crates/pool/src/neighbour.rs
@@ -10,9 +10,9 @@
 use lycheedoor_core::types::VmId;
 
 use crate::event::PoolAction;
-use crate::event::Report;
 use crate::message::PoolMessage;
 use crate::pool::Pool;
+use crate::report::Report;
 
 /// Time between two questions.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
--- a/crates/pool/src/probe.rs
+++ b/crates/pool/src/probe.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MemberId;
@@ -86,7 +87,7 @@
         group: &GroupId,
         member: &MemberId,
         actions: &mut Vec<PoolAction>,
-    ) -> Option<lycheedoor_core::types::ConnectionId> {
+    ) -> Option<ConnectionId> {
         let workspace: WorkspaceId = self.catalogue.rates.keys().next()?.clone();
         let id = self.open_link(now, group, member, workspace, actions);
         if let Some(link) = self.links.get_mut(&id) {
--- /dev/null
+++ b/crates/pool/src/registration.rs
@@ -0,0 +1,107 @@
+//! The records of this VM and of the groups in the store, and when this VM takes callers.
+
+use std::time::Duration;
+
+use lycheedoor_core::types::GroupId;
+use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::VmId;
+
+use crate::event::PoolAction;
+use crate::event::WriteOutcome;
+use crate::pool::Pool;
+use crate::roster::FleetRecord;
+use crate::store::ObjectKind;
+use crate::store::StoreFollower;
+
+pub(crate) const VM_RECORD_PREFIX: &str = "vm.";
+
+pub(crate) const GROUP_RECORD_PREFIX: &str = "group.";
+
+/// Time between attempts to record this VM in the store.
+const REGISTRATION_RETRY: Duration = Duration::from_millis(500);
+
+/// How long an operation waits for a token after the start of the VM. Its buckets begin empty, and
+/// after a restart of all VMs nobody can lend; most tokens come within this time.
+const START_WAIT: Duration = Duration::from_millis(600);
+
+/// How long after its start a VM lets operations wait so.
+const START_TIME: Duration = Duration::from_secs(3);
+
+impl Pool {
+    /// Records this VM in the store.
+    pub(crate) fn register(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
+        let name = format!("{VM_RECORD_PREFIX}{}", self.settings.vm);
+        let expected = self.record_revisions.get(&name).copied();
+        self.registration_due = Some(now + REGISTRATION_RETRY);
+        let record = FleetRecord::Vm {
+            incarnation: self.settings.incarnation,
+            address: self.settings.peer_address,
+        };
+        actions.push(PoolAction::WriteRecord {
+            name,
+            record,
+            expected,
+        });
+    }
+
+    pub(crate) fn record_written(
+        &mut self,
+        now: MonoTime,
+        name: &str,
+        outcome: WriteOutcome,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        if let WriteOutcome::Conflict { revision, record } = &outcome {
+            match record {
+                Some(_) => self.record_revisions.insert(name.to_owned(), *revision),
+                None => self.record_revisions.remove(name),
+            };
+        }
+        if let Some(group) = name.strip_prefix(GROUP_RECORD_PREFIX) {
+            let group = GroupId::from(group);
+            return self.claim_answered(now, &group, outcome, actions);
+        }
+        let is_own = name.strip_prefix(VM_RECORD_PREFIX) == Some(self.settings.vm.as_str());
+        if is_own && matches!(outcome, WriteOutcome::Conflict { .. }) {
+            // The next attempt uses the revision just learned.
+            self.registration_due = Some(now);
+        }
+        self.settle_readiness(now, actions);
+    }
+
+    /// Returns the name of a group's record and the revision it is known to have.
+    pub(crate) fn group_record(&self, group: &GroupId) -> (String, Option<u64>) {
+        let name = format!("{GROUP_RECORD_PREFIX}{group}");
+        let revision = self.record_revisions.get(&name).copied();
+        (name, revision)
+    }
+
+    /// Returns the name of a VM's record and the revision it is known to have.
+    pub(crate) fn vm_record(&self, vm: &VmId) -> (String, Option<u64>) {
+        let name = format!("{VM_RECORD_PREFIX}{vm}");
+        let revision = self.record_revisions.get(&name).copied();
+        (name, revision)
+    }
+
+    pub(crate) fn settle_readiness(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
+        let fleet_loaded = self
+            .followers
+            .get(&ObjectKind::Fleet)
+            .is_some_and(StoreFollower::is_loaded);
+        let own = self.roster.get(&self.settings.vm);
+        let is_registered = own.is_some_and(|vm| vm.incarnation == self.settings.incarnation);
+        if is_registered {
+            self.registration_due = None;
+        } else if fleet_loaded && self.registration_due.is_none() && self.stop.is_none() {
+            self.register(now, actions);
+        }
+        let is_loaded = self.followers.values().all(StoreFollower::is_loaded);
+        let is_ready = is_loaded && is_registered && self.catalogue.version > 0;
+        if is_ready && !self.is_ready && self.stop.is_none() {
+            self.is_ready = true;
+            self.rates.set_max_wait(START_WAIT);
+            self.start_ends = Some(now + START_TIME);
+            actions.push(PoolAction::SetReady(true));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/replies.rs
@@ -0,0 +1,122 @@
+//! What callers are told, and how a session goes on after it.
+
+use bytes::Bytes;
+use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::Position;
+use lycheedoor_core::types::WorkspaceId;
+
+use crate::event::CallerReply;
+use crate::event::PoolAction;
+use crate::pool::Pool;
+use crate::report::Report;
+use crate::requests::PUBLIC_WORKSPACE;
+use crate::session::Session;
+use crate::statement::CallerError;
+use crate::statement::TransactionState;
+
+impl Pool {
+    /// Ends the statement in progress without a result and goes on with the session.
+    pub(crate) fn fail_current(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        error: CallerError,
+        cause: &'static str,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&caller) else {
+            return;
+        };
+        let Some(current) = session.current.take() else {
+            return;
+        };
+        let workspace = session
+            .opened
+            .as_ref()
+            .map(|opened| opened.workspace.clone());
+        let group = current.route.group.clone();
+        actions.push(PoolAction::Report(Report::StatementFailed {
+            caller,
+            id: current.id,
+            workspace: workspace.unwrap_or_else(|| WorkspaceId::from(PUBLIC_WORKSPACE)),
+            group: Some(group.clone()),
+            member: current.last_member,
+            last_fault: current.last_fault,
+            attempts: current.attempts,
+            error,
+            cause,
+            version: self.catalogue.version,
+            elapsed: now.since(current.started_at),
+        }));
+        self.withdraw_admission(now, current.request, actions);
+        self.leave_queue(caller, &group);
+        self.reply_error(caller, error, cause, actions);
+        self.next_request(now, caller, actions);
+    }
+
+    /// Goes on with what a caller sent ahead.
+    pub(crate) fn next_request(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&caller) else {
+            return;
+        };
+        if session.transaction.is_none() && session.current.is_none() {
+            self.active.remove(&caller);
+        }
+        if session.current.is_none()
+            && let Some(request) = session.backlog.pop_front()
+        {
+            self.caller_sent(now, caller, request, actions);
+            self.next_request(now, caller, actions);
+        }
+    }
+
+    pub(crate) fn reply_done(&self, caller: CallerId, actions: &mut Vec<PoolAction>) {
+        let reply = CallerReply::Done {
+            rows: Bytes::new(),
+            signature: None,
+            state: self.state_of(caller),
+            position: None,
+        };
+        actions.push(PoolAction::Reply { caller, reply });
+    }
+
+    pub(crate) fn reply_error(
+        &self,
+        caller: CallerId,
+        error: CallerError,
+        text: &str,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        self.reply_error_at(caller, error, text, None, actions);
+    }
+
+    pub(crate) fn reply_error_at(
+        &self,
+        caller: CallerId,
+        error: CallerError,
+        text: &str,
+        position: Option<Position>,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let reply = CallerReply::Failed {
+            error,
+            text: text.to_owned(),
+            state: self.state_of(caller),
+            position,
+        };
+        actions.push(PoolAction::Reply { caller, reply });
+    }
+
+    pub(crate) fn state_of(&self, caller: CallerId) -> TransactionState {
+        self.sessions
+            .get(&caller)
+            .map(Session::state)
+            .unwrap_or_default()
+    }
+}
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -2,10 +2,8 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::MonoTime;
-use lycheedoor_core::types::Position;
 use lycheedoor_core::types::WorkspaceId;
 use smallvec::SmallVec;
 
@@ -13,28 +11,23 @@
 use crate::catalogue::RouteRule;
 use crate::event::CallerReply;
 use crate::event::PoolAction;
-use crate::event::Report;
-use crate::link::Purpose;
 use crate::pool::Pool;
 use crate::session::Current;
 use crate::session::Opened;
 use crate::session::Prepared;
 use crate::session::Session;
 use crate::session::Stage;
-use crate::session::Transaction;
 use crate::session::Work;
 use crate::statement::Access;
 use crate::statement::CallerError;
 use crate::statement::CallerRequest;
-use crate::statement::MemberCommand;
 use crate::statement::Statement;
-use crate::statement::TransactionState;
 
 /// Statements that one session may send ahead; beyond them the connection is closed.
 const BACKLOG_LIMIT: usize = 64;
 
 /// The workspace that members are told for a public route and a caller without a key.
-const PUBLIC_WORKSPACE: &str = "-";
+pub(crate) const PUBLIC_WORKSPACE: &str = "-";
 
 impl Pool {
     pub(crate) fn caller_connected(&mut self, caller: CallerId) {
@@ -325,191 +318,6 @@
         }
         self.enqueue(now, caller, actions);
     }
-
-    /// Opens the transaction of a caller; members learn of it with its first statement.
-    pub(crate) fn begin_admitted(
-        &mut self,
-        now: MonoTime,
-        caller: CallerId,
-        read_only: bool,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(session) = self.sessions.get_mut(&caller) else {
-            return;
-        };
-        let Some(current) = session.current.take() else {
-            return;
-        };
-        session.transaction = Some(Transaction {
-            route: current.route,
-            read_only,
-            has_failed: false,
-            link: None,
-            has_results: false,
-            has_written: false,
-            used_at: now,
-        });
-        self.reply_done(caller, actions);
-        self.next_request(now, caller, actions);
-    }
-
-    fn roll_back(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
-        let Some(session) = self.sessions.get_mut(&caller) else {
-            return;
-        };
-        match session.transaction.take() {
-            Some(transaction) => {
-                self.active.remove(&caller);
-                if let Some(link) = transaction.link {
-                    self.roll_back_link(now, link, actions);
-                }
-                self.reply_done(caller, actions);
-            }
-            None => {
-                let text = "no transaction is open";
-                self.reply_error(caller, CallerError::Malformed, text, actions);
-            }
-        }
-    }
-
-    /// Rolls the transaction of a caller back; the caller has to end it.
-    pub(crate) fn abort_transaction(
-        &mut self,
-        now: MonoTime,
-        caller: CallerId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let session = self.sessions.get_mut(&caller);
-        let transaction = session.and_then(|session| session.transaction.as_mut());
-        let Some(transaction) = transaction else {
-            return;
-        };
-        transaction.has_failed = true;
-        if let Some(link) = transaction.link.take() {
-            self.roll_back_link(now, link, actions);
-        }
-    }
-
-    /// Rolls back what runs on a connection and frees it.
-    pub(crate) fn roll_back_link(
-        &mut self,
-        now: MonoTime,
-        id: lycheedoor_core::types::ConnectionId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(link) = self.links.get_mut(&id) else {
-            return;
-        };
-        if link.in_transaction {
-            link.push(MemberCommand::Rollback, Purpose::RollBack);
-            link.send(now, actions);
-        }
-        self.free_link(now, id, actions);
-    }
-
-    /// Ends the statement in progress without a result and goes on with the session.
-    pub(crate) fn fail_current(
-        &mut self,
-        now: MonoTime,
-        caller: CallerId,
-        error: CallerError,
-        cause: &'static str,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(session) = self.sessions.get_mut(&caller) else {
-            return;
-        };
-        let Some(current) = session.current.take() else {
-            return;
-        };
-        let workspace = session
-            .opened
-            .as_ref()
-            .map(|opened| opened.workspace.clone());
-        let group = current.route.group.clone();
-        actions.push(PoolAction::Report(Report::StatementFailed {
-            caller,
-            id: current.id,
-            workspace: workspace.unwrap_or_else(|| WorkspaceId::from(PUBLIC_WORKSPACE)),
-            group: Some(group.clone()),
-            member: current.last_member,
-            last_fault: current.last_fault,
-            attempts: current.attempts,
-            error,
-            cause,
-            version: self.catalogue.version,
-            elapsed: now.since(current.started_at),
-        }));
-        self.withdraw_admission(now, current.request, actions);
-        self.leave_queue(caller, &group);
-        self.reply_error(caller, error, cause, actions);
-        self.next_request(now, caller, actions);
-    }
-
-    /// Goes on with what a caller sent ahead.
-    pub(crate) fn next_request(
-        &mut self,
-        now: MonoTime,
-        caller: CallerId,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let Some(session) = self.sessions.get_mut(&caller) else {
-            return;
-        };
-        if session.transaction.is_none() && session.current.is_none() {
-            self.active.remove(&caller);
-        }
-        if session.current.is_none()
-            && let Some(request) = session.backlog.pop_front()
-        {
-            self.caller_sent(now, caller, request, actions);
-            self.next_request(now, caller, actions);
-        }
-    }
-
-    fn reply_done(&self, caller: CallerId, actions: &mut Vec<PoolAction>) {
-        let reply = CallerReply::Done {
-            rows: Bytes::new(),
-            signature: None,
-            state: self.state_of(caller),
-            position: None,
-        };
-        actions.push(PoolAction::Reply { caller, reply });
-    }
-
-    pub(crate) fn reply_error(
-        &self,
-        caller: CallerId,
-        error: CallerError,
-        text: &str,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        self.reply_error_at(caller, error, text, None, actions);
-    }
-
-    pub(crate) fn reply_error_at(
-        &self,
-        caller: CallerId,
-        error: CallerError,
-        text: &str,
-        position: Option<Position>,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let reply = CallerReply::Failed {
-            error,
-            text: text.to_owned(),
-            state: self.state_of(caller),
-            position,
-        };
-        actions.push(PoolAction::Reply { caller, reply });
-    }
-
-    pub(crate) fn state_of(&self, caller: CallerId) -> TransactionState {
-        self.sessions
-            .get(&caller)
-            .map(Session::state)
-            .unwrap_or_default()
-    }
 }
 
 fn reject(caller: CallerId, error: CallerError, text: &str, actions: &mut Vec<PoolAction>) {
--- a/crates/pool/src/stop.rs
+++ b/crates/pool/src/stop.rs
@@ -7,8 +7,8 @@
 use lycheedoor_core::types::MonoTime;
 
 use crate::event::PoolAction;
-use crate::event::Report;
 use crate::pool::Pool;
+use crate::report::Report;
 use crate::session::Session;
 
 /// Time until the balancer sends no further callers: two probes a second apart, and the second in
--- a/crates/pool/src/store.rs
+++ b/crates/pool/src/store.rs
@@ -7,7 +7,7 @@
 use lycheedoor_core::types::MonoTime;
 
 use crate::catalogue::Catalogue;
-use crate::group::MemberEntry;
+use crate::member::MemberEntry;
 use crate::roster::FleetRecord;
 
 /// The first wait after a call without an answer.
--- /dev/null
+++ b/crates/pool/src/transactions.rs
@@ -0,0 +1,100 @@
+//! Transactions of callers: their start and their end without a result.
+
+use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::ConnectionId;
+use lycheedoor_core::types::MonoTime;
+
+use crate::event::PoolAction;
+use crate::link::Purpose;
+use crate::pool::Pool;
+use crate::session::Transaction;
+use crate::statement::CallerError;
+use crate::statement::MemberCommand;
+
+impl Pool {
+    /// Opens the transaction of a caller; members learn of it with its first statement.
+    pub(crate) fn begin_admitted(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        read_only: bool,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&caller) else {
+            return;
+        };
+        let Some(current) = session.current.take() else {
+            return;
+        };
+        session.transaction = Some(Transaction {
+            route: current.route,
+            read_only,
+            has_failed: false,
+            link: None,
+            has_results: false,
+            has_written: false,
+            used_at: now,
+        });
+        self.reply_done(caller, actions);
+        self.next_request(now, caller, actions);
+    }
+
+    pub(crate) fn roll_back(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&caller) else {
+            return;
+        };
+        match session.transaction.take() {
+            Some(transaction) => {
+                self.active.remove(&caller);
+                if let Some(link) = transaction.link {
+                    self.roll_back_link(now, link, actions);
+                }
+                self.reply_done(caller, actions);
+            }
+            None => {
+                let text = "no transaction is open";
+                self.reply_error(caller, CallerError::Malformed, text, actions);
+            }
+        }
+    }
+
+    /// Rolls the transaction of a caller back; the caller has to end it.
+    pub(crate) fn abort_transaction(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let session = self.sessions.get_mut(&caller);
+        let transaction = session.and_then(|session| session.transaction.as_mut());
+        let Some(transaction) = transaction else {
+            return;
+        };
+        transaction.has_failed = true;
+        if let Some(link) = transaction.link.take() {
+            self.roll_back_link(now, link, actions);
+        }
+    }
+
+    /// Rolls back what runs on a connection and frees it.
+    pub(crate) fn roll_back_link(
+        &mut self,
+        now: MonoTime,
+        id: ConnectionId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        if link.in_transaction {
+            link.push(MemberCommand::Rollback, Purpose::RollBack);
+            link.send(now, actions);
+        }
+        self.free_link(now, id, actions);
+    }
+}
