--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -371,12 +371,9 @@
         }
         let until = deadline.min(now + self.max_wait);
         if account.is_dry() && account.expected_wait() > until.since(now) {
-            // No token can come in time, so the caller need not wait to hear so.
-            actions.push(refused(Reason::OverRate));
-            if self.may_borrow() {
-                self.fetch_tokens(now, workspace);
-            }
-            return;
+            // No token can come in time, so the caller need not wait to hear so. The requests that
+            // do wait go on asking.
+            return actions.push(refused(Reason::OverRate));
         }
         let first = account.next_timeout.map_or(until, |first| first.min(until));
         account.next_timeout = Some(first);
