Do not claim a group that has no member to promote

Found by reading: a leaving primary without a reachable replica was claimed every 250 ms, four writes to the store a second and group. Comments and imports of the split files are put in order.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -1,5 +1,7 @@
 //! Connections of callers.
 
+use std::time::Duration;
+
 use lycheedoor_core::types::CallerId;
 use lycheedoor_net::READS_A_TURN;
 use lycheedoor_net::ReadOutcome;
@@ -14,7 +16,6 @@
 use stakker::fwd_to;
 use stakker_mio::Ready;
 use stakker_mio::mio::net::TcpStream;
-use std::time::Duration;
 
 use crate::borders::CallerCodec;
 use crate::borders::InvalidMessage;
--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -1,11 +1,12 @@
-//! What members' answers, refusals and lost connections mean for callers.
+//! What members' answers mean for callers.
+
+use std::time::Duration;
 
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
-use std::time::Duration;
 
 use crate::event::CallerReply;
 use crate::event::PoolAction;
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -103,8 +103,10 @@
     }
 
     /// Returns whether a statement that joins the queue of a group now is likely to wait for too
-    /// long to be served in its time. A late result is worth more to callers than none. Statements before it take their usual time each, over as many
-    /// connections as this VM may use; without a usable member there is no estimate.
+    /// long to be served in its time. A late result is worth more to callers than none.
+    ///
+    /// Statements before it take their usual time each, over as many connections as this VM may
+    /// use; without a usable member there is no estimate.
     fn is_queue_too_long(&self, now: MonoTime, caller: CallerId, id: &GroupId) -> bool {
         let session = self.sessions.get(&caller);
         let (Some(session), Some(group)) = (session, self.groups.get(id)) else {
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -229,6 +229,10 @@
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
+        if candidates(now, group, &self.evacuated).is_empty() {
+            // A claim would only count up the token.
+            return group.failover.pause(now, RETRY_PAUSE);
+        }
         let primary = group.primary.clone();
         let since = group.failover.trouble.map_or(now, |(_, since)| since);
         match (cause, primary) {
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -35,7 +35,8 @@
 /// What another data centre costs: a round trip, and traffic that is paid for.
 const DISTANCE_COST: Duration = Duration::from_millis(8);
 
-/// What a read costs more at the primary, which alone can run writes: more than opening a connection to a replica.
+/// What a read costs more at the primary, which alone can run writes: more than opening a
+/// connection to a replica.
 const PRIMARY_COST: Duration = Duration::from_millis(60);
 
 /// Part of a staleness bound that is left for the way to the member and for clock granularity.
--- a/crates/pool/tests/failover.rs
+++ b/crates/pool/tests/failover.rs
@@ -248,3 +248,21 @@
     assert!(!answer_asks(&mut rig, None));
     assert_eq!(claims(&rig), 0);
 }
+
+/// Guards against writes to the store that lead nowhere, while no member could take over.
+#[test]
+fn primary_without_a_successor_is_not_claimed() {
+    let mut rig = Rig::new();
+    for name in ["m2", "m3"] {
+        rig.change(ObjectKind::Members, name, None);
+    }
+    let mut leaving = member(PRIMARY, true);
+    leaving.is_draining = true;
+    rig.change(
+        ObjectKind::Members,
+        PRIMARY,
+        Some(ObjectValue::Member(leaving)),
+    );
+    rig.advance(3_000);
+    assert_eq!(claims(&rig), 0);
+}
