--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -78,7 +78,7 @@
                 value: decode_value(&request.body)?,
             }
         }
-        (Method::Post, _) => return Ok(None),
+        (Method::Post | Method::Delete, _) => return Ok(None),
     };
     Ok(Some(call))
 }
