--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -169,17 +169,17 @@
         self.down_since.take().map(|since| now.since(since))
     }
 
-    /// Returns how much of this VM may be in progress at the member.
+    /// Returns how many statements and new connections of this VM may be in progress at the member
+    /// besides those of borrowed connections.
     pub(crate) fn limit(&self, budget: u32) -> u32 {
-        let limit = (1..budget).take_while(|limit| f64::from(*limit) < self.limit.floor());
-        limit.last().map_or(1, |limit| limit + 1)
+        let within = |count: &u32| f64::from(*count) <= self.limit;
+        (1..=budget).rev().find(within).unwrap_or(1)
     }
 
     /// Returns whether one more may be in progress besides `running`.
-    pub(crate) fn has_room(&self, running: usize, budget: u32) -> bool {
-        let limit = self.limit.floor().max(1.0);
+    pub(crate) fn has_room(&self, running: usize) -> bool {
         let running = u32::try_from(running).unwrap_or(u32::MAX);
-        f64::from(running) < limit || running < budget && self.limit >= f64::from(budget)
+        f64::from(running) < self.limit.floor().max(1.0)
     }
 
     /// Halves what this VM keeps in progress at a member that is overloaded, once for each round
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -115,7 +115,7 @@
             let awaits = may_await && own_busy.contains(&id);
             let awaited = awaits.then(|| (member.expected_answer() * 2, Choice::Await));
             let count = running.iter().filter(|running| **running == id).count();
-            let has_room = member.has_room(count, self.link_budget(&current.route.group));
+            let has_room = member.has_room(count);
             let connected = has_room.then(|| self.connect(now, id, member, workspace, &free));
             let connected = connected.flatten();
             let connected = connected.map(|choice| (self.cost(group, id, member, &choice), choice));
