--- a/crates/pool/tests/cost.rs
+++ b/crates/pool/benches/cost.rs
@@ -1,5 +1,7 @@
-//! Processor time of the decisions for one statement.
+//! Measures the processor time of the decisions for one statement: `cargo bench -p
+//! lycheedoor-pool`.
 
+#[path = "../tests/support/mod.rs"]
 mod support;
 
 use std::time::Instant;
@@ -9,16 +11,15 @@
 /// Statements in one measurement.
 const STATEMENTS: u32 = 20_000;
 
-/// Prints the time of one statement through the pool; run it with `--release --nocapture`.
-#[test]
-#[ignore = "a measurement, not a check"]
-fn time_of_a_statement() {
+/// Sessions that take turns.
+const SESSIONS: usize = 40;
+
+fn main() {
     let mut rig = Rig::with_peers(&["vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7"]);
-    let callers: Vec<_> = (0..40).map(|_| rig.session("primary-db")).collect();
+    let callers: Vec<_> = (0..SESSIONS).map(|_| rig.session("primary-db")).collect();
     let started = Instant::now();
-    for number in 0..STATEMENTS {
-        let caller = callers[number as usize % callers.len()];
-        rig.query(caller, "READ x");
+    for (number, caller) in (0..STATEMENTS).zip(callers.iter().cycle()) {
+        rig.query(*caller, "READ x");
         rig.serve(u64::from(number));
         rig.replies.clear();
         rig.others.clear();
