--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -14,6 +14,7 @@
 use crate::driver::Driver;
 use crate::store::HttpLink;
 use crate::store::HttpProgress;
+use crate::store::warn_unreachable;
 
 /// Time for an answer to an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(1_500);
@@ -38,9 +39,12 @@
         let mut bytes = Vec::new();
         let promotion = &self.borders.promotion;
         promotion.encode(group, member, token, &mut bytes);
-        let link = HttpLink::open(cx, self.addresses.promotion, ready);
-        let Some(mut link) = link.ok().filter(|_| !bytes.is_empty()) else {
-            return self.order_ended(cx, group.clone(), token, PromotionOutcome::Unknown);
+        let mut link = match HttpLink::open(cx, self.addresses.promotion, ready) {
+            Ok(link) => link,
+            Err(error) => {
+                warn_unreachable("promote", &error.to_string());
+                return self.order_ended(cx, group.clone(), token, PromotionOutcome::Unknown);
+            }
         };
         link.send(&bytes);
         let group = group.clone();
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -238,7 +238,10 @@
         self.writer.call = Some((name, timer));
         if self.writer.link.is_none() {
             let ready = fwd_to!([cx], writer_ready() as (Ready));
-            self.writer.link = HttpLink::open(cx, self.addresses.store, ready).ok();
+            match HttpLink::open(cx, self.addresses.store, ready) {
+                Ok(link) => self.writer.link = Some(link),
+                Err(error) => warn_unreachable("put", &error.to_string()),
+            }
         }
         let is_sent = self
             .writer
@@ -297,7 +300,7 @@
     counter!(PLATFORM_CALLS.name, "call" => call, "result" => result).increment(1);
 }
 
-fn warn_unreachable(call: &str, error: &str) {
+pub(crate) fn warn_unreachable(call: &str, error: &str) {
     emit_limited(
         &events::PLATFORM_UNREACHABLE,
         call,
--- a/crates/pool/src/limits.rs
+++ b/crates/pool/src/limits.rs
@@ -52,8 +52,8 @@
         let wait_limit = limit * WAIT_PERCENT / 100;
         match current.stage {
             Stage::Admission | Stage::Waiting if elapsed >= wait_limit => {
-                let has_link = session.transaction.is_some();
-                if has_link {
+                let in_transaction = session.transaction.is_some();
+                if in_transaction {
                     self.abort_transaction(now, caller, actions);
                 }
                 self.fail_current(now, caller, CallerError::Busy, "no member in time", actions);
