Keep a replaced deadline of the event loop from multiplying

Cause: stakker queues the calls of expired timers behind the events that are queued already. An event handled in that turn replaced the timer, which no longer could be deleted; the queued call then forgot the new timer and set one more. Each such turn left one more chain of timers for the life of the process.

Ruled out before: metrics, interest in writing, asks together with a refusal.

The timer is a type of its own now, and the deadline's call deletes whichever timer is pending. The PostgreSQL program deletes by its key before it sets a timer and has no such chain.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,10 +1,12 @@
 //! Sockets and clocks of processes that run on stakker.
 
 mod boot_clock;
+mod deadline_timer;
 mod listener;
 mod socket;
 
 pub use boot_clock::BootClock;
+pub use deadline_timer::DeadlineTimer;
 pub use listener::Listener;
 pub use socket::READS_A_TURN;
 pub use socket::ReadOutcome;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -11,6 +11,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 use lycheedoor_net::BootClock;
+use lycheedoor_net::DeadlineTimer;
 use lycheedoor_pool::ObjectKind;
 use lycheedoor_pool::Pool;
 use lycheedoor_pool::PoolAction;
@@ -22,7 +23,6 @@
 use lycheedoor_telemetry::events;
 use smallvec::SmallVec;
 use stakker::CX;
-use stakker::FixedTimerKey;
 use stakker::StopCause;
 use stakker::after;
 use stakker_mio::Ready;
@@ -79,7 +79,7 @@
     pending: VecDeque<PoolEvent>,
     is_handling: bool,
     dirty: SmallVec<[Dirty; 8]>,
-    timer: Option<(MonoTime, FixedTimerKey)>,
+    timer: DeadlineTimer,
     /// The time of the current turn of the event loop: reading the clock costs a system call on
     /// some machines.
     turn: Option<(Instant, MonoTime)>,
@@ -111,7 +111,7 @@
             pending: VecDeque::new(),
             is_handling: false,
             dirty: SmallVec::new(),
-            timer: None,
+            timer: DeadlineTimer::default(),
             turn: None,
         };
         driver.report(cx, PoolEvent::DeadlineReached);
@@ -216,18 +216,16 @@
 
     fn set_timer(&mut self, cx: CX![]) {
         let due = self.pool.next_deadline();
-        if self.timer.as_ref().is_some_and(|(armed, _)| *armed == due) {
+        if self.timer.is_set_to(due) {
             return;
         }
-        if let Some((_, timer)) = self.timer.take() {
-            cx.timer_del(timer);
-        }
         let wait = due.since(self.now(cx.now())) + TIMER_SLACK;
-        self.timer = Some((due, after!(wait, [cx], deadline())));
+        let timer = after!(wait, [cx], deadline());
+        self.timer.replace(cx, due, timer);
     }
 
     fn deadline(&mut self, cx: CX![]) {
-        self.timer = None;
+        self.timer.clear(cx);
         self.report(cx, PoolEvent::DeadlineReached);
         self.log.flush();
         let now = self.now(cx.now());
