--- a/crates/net/tests/deadline_timer.rs
+++ b/crates/net/tests/deadline_timer.rs
@@ -35,7 +35,7 @@
     }
 
     fn event(&mut self, cx: CX![]) {
-        self.next_deadline = self.next_deadline + INTERVAL;
+        self.next_deadline += INTERVAL;
         let timer = after!(INTERVAL, [cx], deadline());
         self.timer.replace(cx, self.next_deadline, timer);
     }
