See a close that is reported together with the last bytes

Cause: sockets are edge-triggered, and a short read ended the turn. When the close was reported in the same event as the bytes, nothing reported it again: the connection of a caller that had half closed stayed open, and a member's connection that had ended stayed in the pool until the next statement on it was lost. The PostgreSQL program already read on in this case; the node did not.

The rule is a method of the read's outcome now.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -53,6 +53,16 @@
     Closed,
 }
 
+impl ReadOutcome {
+    /// Returns whether nothing is left to read until readiness is reported again.
+    ///
+    /// `is_read_closed` tells that the other side's close was reported together with the bytes; it
+    /// is not reported again, so a further read has to find it.
+    pub fn is_drained(self, is_read_closed: bool) -> bool {
+        self == Self::LastData && !is_read_closed
+    }
+}
+
 /// A stream that is registered with the event loop.
 pub struct Socket {
     source: MioSource<TcpStream>,
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -64,11 +64,11 @@
             self.flush_caller(cx, number);
         }
         if ready.is_readable() || ready.is_read_closed() {
-            self.read_caller(cx, number);
+            self.read_caller(cx, number, ready.is_read_closed());
         }
     }
 
-    fn read_caller(&mut self, cx: CX![], number: u64) {
+    fn read_caller(&mut self, cx: CX![], number: u64, is_read_closed: bool) {
         for _ in 0..READS_A_TURN {
             let Some(connection) = self.callers.get_mut(&number) else {
                 return;
@@ -85,11 +85,11 @@
                 Ok(ReadOutcome::WouldBlock) => return,
                 Ok(ReadOutcome::Closed) | Err(_) => return self.caller_ended(cx, number),
             }
-            if matches!(outcome, Ok(ReadOutcome::LastData)) {
+            if outcome.is_ok_and(|outcome| outcome.is_drained(is_read_closed)) {
                 return;
             }
         }
-        call!([cx], read_caller(number));
+        call!([cx], read_caller(number, is_read_closed));
     }
 
     fn take_requests(&mut self, cx: CX![], number: u64) {
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -85,11 +85,11 @@
             self.flush_member(cx, number);
         }
         if ready.is_readable() || ready.is_read_closed() {
-            self.read_member(cx, number);
+            self.read_member(cx, number, ready.is_read_closed());
         }
     }
 
-    fn read_member(&mut self, cx: CX![], number: u64) {
+    fn read_member(&mut self, cx: CX![], number: u64, is_read_closed: bool) {
         for _ in 0..READS_A_TURN {
             let Some(connection) = self.members.get_mut(&number) else {
                 return;
@@ -101,11 +101,11 @@
                 Ok(ReadOutcome::WouldBlock) => return,
                 Ok(ReadOutcome::Closed) | Err(_) => return self.member_ended(cx, number),
             }
-            if matches!(outcome, Ok(ReadOutcome::LastData)) {
+            if outcome.is_ok_and(|outcome| outcome.is_drained(is_read_closed)) {
                 return;
             }
         }
-        call!([cx], read_member(number));
+        call!([cx], read_member(number, is_read_closed));
     }
 
     fn take_answers(&mut self, cx: CX![], number: u64) {
