Send a peer's answer in the response to its message

Cause: each message between VMs was an HTTP exchange of its own, so a question and its answer cost two requests and two confirmations.

The first message to a VM that comes out of handling a message of that VM now travels in the response; everything else is sent as before. The PostgreSQL program takes such answers as well and confirms as before.

--- a/crates/bench/src/fleet/run.rs
+++ b/crates/bench/src/fleet/run.rs
@@ -16,6 +16,7 @@
 use lycheedoor_core::vm::VmEvent;
 use lycheedoor_peer::EnvelopeView;
 use lycheedoor_peer::PeerServerCodec;
+use lycheedoor_peer::encode_confirmation;
 use lycheedoor_peer::encode_message;
 use lycheedoor_platform::WATCH_WAIT_MS;
 
@@ -157,6 +158,7 @@
         let mut codec = PeerServerCodec::default();
         codec.extend(&bytes);
         let decoded = codec.next_message(&mut confirmation);
+        encode_confirmation(&mut confirmation);
         if self.is_counted(from) {
             let traffic = self.counts.peer.entry(kind(&message)).or_default();
             traffic.messages += 1;
--- a/crates/lycheedoor/src/peer_link.rs
+++ b/crates/lycheedoor/src/peer_link.rs
@@ -7,6 +7,7 @@
 
 use lycheedoor_core::types::VmId;
 use lycheedoor_core::vm::VmEvent;
+use lycheedoor_peer::Confirmation;
 use lycheedoor_peer::PeerClientCodec;
 use lycheedoor_telemetry::emit;
 use lycheedoor_telemetry::emit_limited;
@@ -142,13 +143,16 @@
     fn take_confirmations(&mut self) {
         while let Some(connection) = &mut self.connection {
             match connection.codec.next_confirmation() {
-                Ok(true) => {
+                Ok(Some(confirmation)) => {
+                    if let Confirmation::Answered(envelope) = confirmation {
+                        call!([self.vm], peer_received(envelope));
+                    }
                     self.unconfirmed.pop_front();
                     if std::mem::take(&mut self.unreachable) {
                         emit(&events::PEER_BACK, &[self.peer.as_str().into()]);
                     }
                 }
-                Ok(false) => return,
+                Ok(None) => return,
                 Err(error) => {
                     let cause = error.to_string();
                     emit_limited(&events::PEER_MALFORMED, &cause, &[cause.as_str().into()]);
--- a/crates/lycheedoor/src/peer_server.rs
+++ b/crates/lycheedoor/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! A connection of another VM, for messages that this VM receives.
 
 use lycheedoor_peer::PeerServerCodec;
+use lycheedoor_peer::encode_confirmation;
 use lycheedoor_telemetry::emit_limited;
 use lycheedoor_telemetry::events;
 use lycheedoor_telemetry::metrics::PEER_BYTES;
@@ -80,7 +81,10 @@
         let mut out = Vec::new();
         let usable = loop {
             match self.codec.next_message(&mut out) {
-                Ok(Some(envelope)) => call!([self.vm], peer_received(envelope)),
+                Ok(Some(envelope)) => {
+                    encode_confirmation(&mut out);
+                    call!([self.vm], peer_received(envelope));
+                }
                 Ok(None) => break true,
                 Err(error) => {
                     let cause = error.to_string();
--- a/crates/lycheedoor/tests/control.rs
+++ b/crates/lycheedoor/tests/control.rs
@@ -55,6 +55,7 @@
 use lycheedoor_peer::Envelope;
 use lycheedoor_peer::EnvelopeView;
 use lycheedoor_peer::PeerServerCodec;
+use lycheedoor_peer::encode_confirmation;
 use lycheedoor_peer::encode_message;
 
 const WAIT: Duration = Duration::from_secs(5);
@@ -142,6 +143,7 @@
             codec.extend(&buffer[..count]);
             let mut out = Vec::new();
             while let Some(envelope) = codec.next_message(&mut out).unwrap() {
+                encode_confirmation(&mut out);
                 sender.send(envelope).unwrap();
             }
             stream.write_all(&out).unwrap();
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -30,6 +30,7 @@
 use crate::callers::CallerConnection;
 use crate::members::MemberConnection;
 use crate::orders::Order;
+use crate::peers::Answering;
 use crate::peers::PeerIn;
 use crate::peers::PeerOut;
 use crate::probes::ProbeConnection;
@@ -74,6 +75,7 @@
     pub(crate) orders: BTreeMap<u64, Order>,
     pub(crate) peers_out: BTreeMap<VmId, PeerOut>,
     pub(crate) peers_in: BTreeMap<u64, PeerIn>,
+    pub(crate) answering: Option<Answering>,
     pub(crate) probes: BTreeMap<u64, ProbeConnection>,
     pub(crate) is_ready: bool,
     pending: VecDeque<PoolEvent>,
@@ -106,6 +108,7 @@
             orders: BTreeMap::new(),
             peers_out: BTreeMap::new(),
             peers_in: BTreeMap::new(),
+            answering: None,
             probes: BTreeMap::new(),
             is_ready: false,
             pending: VecDeque::new(),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,9 +7,14 @@
 use lycheedoor_core::types::VmId;
 use lycheedoor_net::ReadOutcome;
 use lycheedoor_net::Socket;
+use lycheedoor_peer::Confirmation;
+use lycheedoor_peer::Envelope;
 use lycheedoor_peer::EnvelopeView;
 use lycheedoor_peer::PeerClientCodec;
+use lycheedoor_peer::PeerError;
 use lycheedoor_peer::PeerServerCodec;
+use lycheedoor_peer::encode_answer;
+use lycheedoor_peer::encode_confirmation;
 use lycheedoor_peer::encode_message;
 use lycheedoor_pool::PoolEvent;
 use lycheedoor_pool::PoolMessage;
@@ -44,6 +49,13 @@
     codec: PeerServerCodec,
 }
 
+/// A message of another VM that is being handled. The first message to that VM travels in the
+/// response, which saves an exchange for each question.
+pub(crate) struct Answering {
+    to: VmId,
+    response: Vec<u8>,
+}
+
 impl Driver {
     pub(crate) fn send_peer(
         &mut self,
@@ -58,12 +70,18 @@
             clock: self.hybrid.tick(Self::wall_time()),
             message,
         };
+        if let Some(answering) = &mut self.answering
+            && answering.to == to
+            && answering.response.is_empty()
+        {
+            if let Err(error) = encode_answer(&mut answering.response, &envelope) {
+                peer_malformed(&error);
+            }
+            return;
+        }
         let bytes = match encode_message(&envelope) {
             Ok(bytes) => bytes,
-            Err(error) => {
-                let cause = error.to_string();
-                return emit_limited(&events::PEER_MALFORMED, &cause, &[cause.as_str().into()]);
-            }
+            Err(error) => return peer_malformed(&error),
         };
         let now = self.now(cx.now());
         let is_stale = self.peers_out.get(&to).is_some_and(|peer| {
@@ -109,16 +127,20 @@
         }
     }
 
-    fn peer_out_ready(&mut self, _: CX![], number: u64, ready: Ready) {
+    fn peer_out_ready(&mut self, cx: CX![], number: u64, ready: Ready) {
         let mut peers = self.peers_out.iter_mut();
         let Some((vm, peer)) = peers.find(|(_, peer)| peer.number == number) else {
             return;
         };
-        if let Err(cause) = peer.progress(&ready) {
+        let mut received = Vec::new();
+        if let Err(cause) = peer.progress(&ready, &mut received) {
             let vm = vm.clone();
             self.peers_out.remove(&vm);
             peer_unreachable(&vm, &cause);
         }
+        for envelope in received {
+            self.message_received(cx, envelope);
+        }
     }
 
     pub(crate) fn peer_accepted(&mut self, cx: CX![], stream: TcpStream) {
@@ -154,15 +176,12 @@
                 return;
             };
             let (socket, codec) = (&mut peer.socket, &mut peer.codec);
-            match socket.read(|bytes| codec.extend(bytes)) {
-                Ok(ReadOutcome::Data | ReadOutcome::LastData) => {}
+            let is_usable = match socket.read(|bytes| codec.extend(bytes)) {
+                Ok(ReadOutcome::Data | ReadOutcome::LastData) => self.take_messages(cx, number),
                 Ok(ReadOutcome::WouldBlock) => return,
-                Ok(ReadOutcome::Closed) | Err(_) => {
-                    self.peers_in.remove(&number);
-                    return;
-                }
-            }
-            if !self.take_messages(cx, number) {
+                Ok(ReadOutcome::Closed) | Err(_) => false,
+            };
+            if !is_usable {
                 self.peers_in.remove(&number);
                 return;
             }
@@ -171,39 +190,66 @@
 
     /// Passes on what has arrived; returns false when the connection must end.
     fn take_messages(&mut self, cx: CX![], number: u64) -> bool {
-        let mut out = Vec::new();
-        let mut received = Vec::new();
-        let Some(peer) = self.peers_in.get_mut(&number) else {
-            return false;
-        };
-        let is_usable = loop {
-            match peer.codec.next_message::<PoolMessage>(&mut out) {
-                Ok(Some(envelope)) => received.push(envelope),
-                Ok(None) => break true,
+        loop {
+            let Some(peer) = self.peers_in.get_mut(&number) else {
+                return false;
+            };
+            let mut response = Vec::new();
+            let received = peer.codec.next_message::<PoolMessage>(&mut response);
+            let (is_usable, is_last) = match received {
+                Ok(Some(envelope)) => {
+                    response = self.answer_message(cx, envelope);
+                    (true, false)
+                }
+                Ok(None) => (true, true),
                 Err(error) => {
-                    let cause = error.to_string();
-                    emit_limited(&events::PEER_MALFORMED, &cause, &[cause.as_str().into()]);
-                    break false;
+                    peer_malformed(&error);
+                    (false, true)
                 }
-            }
-        };
-        peer.socket.out.extend_from_slice(&out);
-        let is_written = peer.socket.flush().is_ok();
-        for envelope in received {
-            self.hybrid.merge(Self::wall_time(), envelope.clock);
-            let event = PoolEvent::PeerSent {
-                from: envelope.from,
-                incarnation: envelope.incarnation,
-                message: envelope.message,
             };
-            self.report(cx, event);
+            let Some(peer) = self.peers_in.get_mut(&number) else {
+                return false;
+            };
+            peer.socket.out.extend_from_slice(&response);
+            if is_last {
+                return peer.socket.flush().is_ok() && is_usable;
+            }
+        }
+    }
+
+    /// Handles a message of another VM and returns the response to it.
+    fn answer_message(&mut self, cx: CX![], envelope: Envelope<PoolMessage>) -> Vec<u8> {
+        self.answering = Some(Answering {
+            to: envelope.from.clone(),
+            response: Vec::new(),
+        });
+        self.message_received(cx, envelope);
+        let answering = self.answering.take();
+        let mut response = answering.map_or_else(Vec::new, |answering| answering.response);
+        if response.is_empty() {
+            encode_confirmation(&mut response);
         }
-        is_usable && is_written
+        response
+    }
+
+    fn message_received(&mut self, cx: CX![], envelope: Envelope<PoolMessage>) {
+        self.hybrid.merge(Self::wall_time(), envelope.clock);
+        let event = PoolEvent::PeerSent {
+            from: envelope.from,
+            incarnation: envelope.incarnation,
+            message: envelope.message,
+        };
+        self.report(cx, event);
     }
 }
 
 impl PeerOut {
-    fn progress(&mut self, ready: &Ready) -> Result<(), String> {
+    /// Goes on with the connection and appends the messages that came as answers.
+    fn progress(
+        &mut self,
+        ready: &Ready,
+        received: &mut Vec<Envelope<PoolMessage>>,
+    ) -> Result<(), String> {
         if !self.is_connected {
             match self.socket.finish_connect() {
                 Ok(true) => self.is_connected = true,
@@ -217,21 +263,30 @@
         }
         loop {
             let codec = &mut self.codec;
-            match self.socket.read(|bytes| codec.extend(bytes)) {
-                Ok(ReadOutcome::Data | ReadOutcome::LastData) => {}
-                Ok(ReadOutcome::WouldBlock) => return Ok(()),
-                Ok(ReadOutcome::Closed) => return Err("connection closed".into()),
-                Err(error) => return Err(error.to_string()),
+            let outcome = self.socket.read(|bytes| codec.extend(bytes));
+            match outcome.map_err(|error| error.to_string())? {
+                ReadOutcome::Data | ReadOutcome::LastData => {}
+                ReadOutcome::WouldBlock => return Ok(()),
+                ReadOutcome::Closed => return Err("connection closed".into()),
             }
-            while self
+            while let Some(confirmation) = self
                 .codec
                 .next_confirmation()
                 .map_err(|error| error.to_string())?
-            {}
+            {
+                if let Confirmation::Answered(envelope) = confirmation {
+                    received.push(envelope);
+                }
+            }
         }
     }
 }
 
+fn peer_malformed(error: &PeerError) {
+    let cause = error.to_string();
+    emit_limited(&events::PEER_MALFORMED, &cause, &[cause.as_str().into()]);
+}
+
 fn peer_unreachable(vm: &VmId, cause: &str) {
     emit_limited(
         &events::PEER_LOST,
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -16,6 +16,7 @@
 
 const PATH: &str = "/peer";
 const CONTENT_TYPE: &str = "application/msgpack";
+const OK: u16 = 200;
 const NO_CONTENT: u16 = 204;
 const BAD_REQUEST: u16 = 400;
 const HEAD_LIMIT_BYTES: usize = 1024;
@@ -54,13 +55,46 @@
 ///
 /// Returns an error when the message cannot be encoded or is over the limit.
 pub fn encode_message(envelope: &EnvelopeView<'_, impl Serialize>) -> Result<Vec<u8>, PeerError> {
+    let body = encode_body(envelope)?;
+    let mut out = Vec::with_capacity(body.len() + HEAD_LIMIT_BYTES / 4);
+    encode_request(&mut out, Method::Post, PATH, CONTENT_TYPE, &body);
+    Ok(out)
+}
+
+/// Appends the confirmation of a message that has been taken.
+pub fn encode_confirmation(out: &mut Vec<u8>) {
+    encode_response(out, NO_CONTENT, CONTENT_TYPE, b"");
+}
+
+/// Appends the confirmation of a message together with a message for its sender.
+///
+/// # Errors
+///
+/// Returns an error when the message cannot be encoded or is over the limit; nothing is appended
+/// then.
+pub fn encode_answer(
+    out: &mut Vec<u8>,
+    envelope: &EnvelopeView<'_, impl Serialize>,
+) -> Result<(), PeerError> {
+    encode_response(out, OK, CONTENT_TYPE, &encode_body(envelope)?);
+    Ok(())
+}
+
+fn encode_body(envelope: &EnvelopeView<'_, impl Serialize>) -> Result<Vec<u8>, PeerError> {
     let body = rmp_serde::to_vec(envelope)?;
     if body.len() > MESSAGE_LIMIT_BYTES {
         return Err(PeerError::TooLarge);
     }
-    let mut out = Vec::with_capacity(body.len() + HEAD_LIMIT_BYTES / 4);
-    encode_request(&mut out, Method::Post, PATH, CONTENT_TYPE, &body);
-    Ok(out)
+    Ok(body)
+}
+
+/// What a message was answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Confirmation<M> {
+    /// The receiver has taken the message.
+    Taken,
+    /// The receiver has taken the message and sends one of its own.
+    Answered(Envelope<M>),
 }
 
 /// The receiving side of a connection.
@@ -83,21 +117,20 @@
         self.decoder.extend(bytes);
     }
 
-    /// Takes the next message, or `None` when more bytes are needed; the answer goes to `out`.
+    /// Takes the next message, or `None` when more bytes are needed. Each message has to be
+    /// confirmed or answered in the order of arrival.
     ///
     /// # Errors
     ///
-    /// Returns an error when the connection must be closed; `out` then holds the answer that
+    /// Returns an error when the connection must be closed; `out` then holds the response that
     /// says so.
     pub fn next_message<M: DeserializeOwned>(
         &mut self,
         out: &mut Vec<u8>,
     ) -> Result<Option<Envelope<M>>, PeerError> {
         let result = self.decode();
-        match &result {
-            Ok(Some(_)) => encode_response(out, NO_CONTENT, CONTENT_TYPE, b""),
-            Ok(None) => {}
-            Err(_) => encode_response(out, BAD_REQUEST, CONTENT_TYPE, b""),
+        if result.is_err() {
+            encode_response(out, BAD_REQUEST, CONTENT_TYPE, b"");
         }
         result
     }
@@ -133,15 +166,22 @@
         self.decoder.extend(bytes);
     }
 
-    /// Returns whether the next message has been confirmed.
+    /// Takes the next confirmation, or `None` when more bytes are needed.
     ///
     /// # Errors
     ///
-    /// Returns an error when the receiver refused a message; the connection must be closed.
-    pub fn next_confirmation(&mut self) -> Result<bool, PeerError> {
+    /// Returns an error when the receiver refused a message or its response is malformed; the
+    /// connection must be closed.
+    pub fn next_confirmation<M: DeserializeOwned>(
+        &mut self,
+    ) -> Result<Option<Confirmation<M>>, PeerError> {
         match self.decoder.next_response()? {
-            None => Ok(false),
-            Some(response) if response.status == NO_CONTENT => Ok(true),
+            None => Ok(None),
+            Some(response) if response.status == NO_CONTENT => Ok(Some(Confirmation::Taken)),
+            Some(response) if response.status == OK => {
+                let envelope = rmp_serde::from_slice(&response.body)?;
+                Ok(Some(Confirmation::Answered(envelope)))
+            }
             Some(response) => Err(PeerError::Refused(response.status)),
         }
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,13 +1,18 @@
 //! Messages between VMs: HTTP with `rmp-serde`, without sockets.
 //!
-//! A message travels as `POST /peer` and is answered with 204 as soon as it has been decoded.
+//! A message travels as `POST /peer`. The response confirms it with 204, or with 200 and a message
+//! for the sender in its body: most messages ask something, and an answer of its own would cost one
+//! more exchange.
 
 mod codec;
 mod envelope;
 
+pub use codec::Confirmation;
 pub use codec::PeerClientCodec;
 pub use codec::PeerError;
 pub use codec::PeerServerCodec;
+pub use codec::encode_answer;
+pub use codec::encode_confirmation;
 pub use codec::encode_message;
 pub use envelope::Envelope;
 pub use envelope::EnvelopeView;
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -6,9 +6,13 @@
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::VmId;
 use lycheedoor_core::vm::PeerMessage;
+use lycheedoor_peer::Confirmation;
+use lycheedoor_peer::Envelope;
 use lycheedoor_peer::EnvelopeView;
 use lycheedoor_peer::PeerClientCodec;
 use lycheedoor_peer::PeerServerCodec;
+use lycheedoor_peer::encode_answer;
+use lycheedoor_peer::encode_confirmation;
 use lycheedoor_peer::encode_message;
 use proptest::prelude::*;
 
@@ -43,14 +47,47 @@
                 (Incarnation(7), CLOCK)
             );
             versions.push(envelope.message);
+            encode_confirmation(&mut out);
         }
     }
     let expected = [1, 2].map(|version| PeerMessage::Config(ConfigMessage::Pull { version }));
     assert_eq!(versions, expected);
     client.extend(&out);
-    assert!(client.next_confirmation().unwrap());
-    assert!(client.next_confirmation().unwrap());
-    assert!(!client.next_confirmation().unwrap());
+    for expected in [Some(Confirmation::Taken), Some(Confirmation::Taken), None] {
+        assert_eq!(client.next_confirmation::<PeerMessage>().unwrap(), expected);
+    }
+}
+
+/// Guards against answers that are lost or mixed up between confirmations.
+#[test]
+fn answers_arrive_in_the_order_of_the_messages() {
+    let answer = PeerMessage::Config(ConfigMessage::Pull { version: 4 });
+    let envelope = EnvelopeView {
+        from: &VmId::from("vm-2"),
+        incarnation: Incarnation(8),
+        clock: CLOCK,
+        message: &answer,
+    };
+    let mut out = Vec::new();
+    encode_confirmation(&mut out);
+    encode_answer(&mut out, &envelope).unwrap();
+    encode_confirmation(&mut out);
+    let mut client = PeerClientCodec::default();
+    let mut received = Vec::new();
+    for byte in out {
+        client.extend(&[byte]);
+        received.extend(client.next_confirmation::<PeerMessage>().unwrap());
+    }
+    let expected = Confirmation::Answered(Envelope {
+        from: VmId::from("vm-2"),
+        incarnation: Incarnation(8),
+        clock: CLOCK,
+        message: answer,
+    });
+    assert_eq!(
+        received,
+        [Confirmation::Taken, expected, Confirmation::Taken]
+    );
 }
 
 #[test]
@@ -70,7 +107,7 @@
         );
         let mut client = PeerClientCodec::default();
         client.extend(&out);
-        assert!(client.next_confirmation().is_err());
+        assert!(client.next_confirmation::<PeerMessage>().is_err());
     }
 }
 
@@ -91,6 +128,6 @@
         while let Ok(Some(_)) = server.next_message::<PeerMessage>(&mut out) {}
         let mut client = PeerClientCodec::default();
         client.extend(&bytes);
-        while let Ok(true) = client.next_confirmation() {}
+        while let Ok(Some(_)) = client.next_confirmation::<PeerMessage>() {}
     }
 }
