Let a refused connection stop only new connections

Cause: a member that refused one more connection (all in use, or no slot for the handshake) was left alone for 100 ms altogether. Statements of other workspaces that had an open connection there waited as well, or were sent to the primary.

The member now has a time from which it may be opened again, besides the one from which a failed member is tried again. Tests: refused_connection_does_not_hold_up_open_ones (failed first), connection_is_tried_again_after_a_pause.

--- a/crates/pool/src/limits.rs
+++ b/crates/pool/src/limits.rs
@@ -151,7 +151,7 @@
             // The member answers others, so it has no room for a connection.
             let budget = self.link_budget(&group);
             if let Some(member) = self.member_of(id) {
-                member.pause(now);
+                member.refused_connection(now);
                 member.overloaded(now, budget);
             }
         }
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -68,7 +68,7 @@
                 let budget = self.link_budget(&group);
                 let is_overloaded = error.fault == MemberFault::Busy;
                 if let Some(member) = self.member_of(id) {
-                    member.pause(now);
+                    member.refused_connection(now);
                     if is_overloaded {
                         member.overloaded(now, budget);
                     }
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -85,6 +85,7 @@
     pub(crate) heard_at: Option<MonoTime>,
     pub(crate) down_since: Option<MonoTime>,
     retry_at: MonoTime,
+    opens_from: MonoTime,
     lends_from: MonoTime,
     retry: Duration,
     pub(crate) position: Option<Position>,
@@ -119,6 +120,7 @@
             heard_at: None,
             down_since: None,
             retry_at: MonoTime::ZERO,
+            opens_from: MonoTime::ZERO,
             lends_from: MonoTime::ZERO,
             retry: FIRST_RETRY,
             position: None,
@@ -221,12 +223,17 @@
         is_first
     }
 
-    /// Notes that the member takes no further connections for a moment.
-    pub(crate) fn pause(&mut self, now: MonoTime) {
-        self.retry_at = now + FIRST_RETRY;
+    /// Notes that the member has refused a connection. Those that are open are not concerned.
+    pub(crate) fn refused_connection(&mut self, now: MonoTime) {
+        self.opens_from = now + FIRST_RETRY;
         self.lends_from = now + FULL_MEMORY;
     }
 
+    /// Returns whether the member may take one more connection.
+    pub(crate) fn may_open(&self, now: MonoTime) -> bool {
+        self.opens_from <= now
+    }
+
     /// Returns whether the member has had connections to spare lately.
     pub(crate) fn may_lend(&self, now: MonoTime) -> bool {
         self.lends_from <= now
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -164,6 +164,9 @@
         if let Some(link) = own.max_by_key(|link| link.used_at) {
             return Some(Choice::Use(link.id));
         }
+        if !member.may_open(now) {
+            return None;
+        }
         let group = &member.entry.group;
         let budget = self.link_budget(group);
         let oldest = free.max_by_key(|link| Reverse(link.used_at));
--- a/crates/pool/tests/connections.rs
+++ b/crates/pool/tests/connections.rs
@@ -4,6 +4,9 @@
 
 use lycheedoor_core::types::CallerId;
 use lycheedoor_pool::MemberCommand;
+use lycheedoor_pool::MemberError;
+use lycheedoor_pool::MemberFault;
+use lycheedoor_pool::PoolEvent;
 use lycheedoor_pool::TransactionState;
 use support::PRIMARY;
 use support::Rig;
@@ -60,6 +63,51 @@
     assert_eq!(primary_links(&rig), PART);
 }
 
+/// Guards against a member that is left alone for a while because it took no further connection:
+/// those that are open work as before.
+#[test]
+fn refused_connection_does_not_hold_up_open_ones() {
+    for fault in [MemberFault::TooManyConnections, MemberFault::Busy] {
+        let mut rig = Rig::new();
+        let first = rig.session("primary-db");
+        rig.query(first, "WRITE x 1");
+        rig.serve(1);
+        let other = rig.session_with("primary-db", "key-of-brix");
+        rig.query(other, "WRITE y 1");
+        let refused = rig.links.iter().find(|(_, link)| !link.is_open);
+        let link = *refused.unwrap().0;
+        rig.links.remove(&link);
+        let text = "refused".to_owned();
+        let error = MemberError { fault, text };
+        rig.event(PoolEvent::LinkRefused { link, error });
+        rig.query(first, "WRITE x 2");
+        let command = rig.take_command(PRIMARY).map(|(_, command)| command);
+        assert!(
+            matches!(command, Some(MemberCommand::Forward { .. })),
+            "{fault:?}: {command:?}"
+        );
+    }
+}
+
+/// Guards against a VM that asks for a connection again and again at a member that has none left.
+#[test]
+fn connection_is_tried_again_after_a_pause() {
+    let mut rig = Rig::new();
+    let caller = rig.session("primary-db");
+    rig.query(caller, "WRITE x 1");
+    let link = *rig.links.keys().next().unwrap();
+    rig.links.remove(&link);
+    let error = MemberError {
+        fault: MemberFault::TooManyConnections,
+        text: "refused".to_owned(),
+    };
+    rig.event(PoolEvent::LinkRefused { link, error });
+    rig.advance(50);
+    assert_eq!(primary_links(&rig), 0);
+    rig.advance(100);
+    assert_eq!(primary_links(&rig), 1);
+}
+
 /// Guards against a member without room for VMs that have started again: connections of VMs that
 /// lost power stay open there for seconds.
 #[test]
