Spread all connections but one VM's part over the VMs

A VM used its rounded part of two thirds of a member's connections: two of 29, with eight workspaces and eight VMs.

The reserve exists for a VM that starts again while its former connections are still open at the member. It is now that VM's part and no more, and what does not divide evenly goes to some of the VMs, to others at each member, instead of to nobody. The number follows from the roster alone.

--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -121,14 +121,16 @@
             Need::Lead => is_primary(id) && self.may_lead(now, group, member),
             Need::Has(position) => self.may_read(now, member) && member.may_have(now, position),
         });
-        let budget = self.link_budget(id);
-        let usable = usable.fold((0, 0, Duration::ZERO), |(count, room, sum), (_, member)| {
-            (
-                count + 1,
-                room + member.limit(budget),
-                sum + member.answer(),
-            )
-        });
+        let usable = usable.fold(
+            (0, 0, Duration::ZERO),
+            |(count, room, sum), (name, member)| {
+                (
+                    count + 1,
+                    room + member.limit(self.link_budget(id, name)),
+                    sum + member.answer(),
+                )
+            },
+        );
         let (members, room, answers) = usable;
         if members == 0 {
             return false;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod admission;
 mod answers;
+mod budget;
 mod catalogue;
 mod directory;
 mod dispatch;
@@ -36,6 +37,7 @@
 mod store;
 mod transactions;
 
+pub use budget::connection_part;
 pub use catalogue::Catalogue;
 pub use catalogue::Consistency;
 pub use catalogue::GroupRule;
--- a/crates/pool/src/limits.rs
+++ b/crates/pool/src/limits.rs
@@ -149,7 +149,7 @@
             self.note_failed(now, &group, &member, cause, actions);
         } else if !is_open {
             // The member answers others, so it has no room for a connection.
-            let budget = self.link_budget(&group);
+            let budget = self.link_budget(&group, &member);
             if let Some(member) = self.member_of(id) {
                 member.refused_connection(now);
                 member.overloaded(now, budget);
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -65,7 +65,7 @@
             // The member is there, and takes no further connection for now.
             MemberFault::TooManyConnections | MemberFault::Busy => {
                 self.note_heard(now, id, None, actions);
-                let budget = self.link_budget(&group);
+                let budget = self.link_budget(&group, &member);
                 let is_overloaded = error.fault == MemberFault::Busy;
                 if let Some(member) = self.member_of(id) {
                     member.refused_connection(now);
@@ -151,12 +151,13 @@
                 member.busy = member.busy.saturating_sub(1);
             }
         }
-        let group = self.links.get(&id).map(|link| link.group.clone());
-        let Some(group) = group else {
+        let place = self.links.get(&id);
+        let place = place.map(|link| (link.group.clone(), link.member.clone()));
+        let Some((group, member)) = place else {
             return;
         };
         self.dispatch_group(now, &group, actions);
-        let budget = self.link_budget(&group);
+        let budget = self.link_budget(&group, &member);
         let is_borrowed = self
             .member_of(id)
             .is_some_and(|member| member.links > budget);
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -42,11 +42,6 @@
 /// Part of a staleness bound that is left for the way to the member and for clock granularity.
 const STALENESS_MARGIN: Duration = Duration::from_millis(100);
 
-/// Part of a member's connections that the VMs use together, in percent. Members drop connections
-/// of a VM without power only after seconds; the rest lets VMs that have started again connect at
-/// once, and others borrow.
-const USED_PERCENT: u64 = 67;
-
 /// Time after which a statement does not wait for a connection of its workspace any more. A member
 /// that is overloaded spends its slots on statements until then, not on new connections.
 const AWAIT_LIMIT: Duration = Duration::from_millis(250);
@@ -168,7 +163,7 @@
             return None;
         }
         let group = &member.entry.group;
-        let budget = self.link_budget(group);
+        let budget = self.link_budget(group, id);
         let oldest = free.max_by_key(|link| Reverse(link.used_at));
         let replaces = match oldest {
             Some(oldest) if member.links >= budget => Some(oldest.id),
@@ -190,18 +185,7 @@
         let paused = self.links.values().filter(is_paused).count();
         u32::try_from(paused)
             .unwrap_or(u32::MAX)
-            .min(self.link_budget(group))
-    }
-
-    /// Returns this VM's part of the connections that a member of the group takes.
-    pub(crate) fn link_budget(&self, group: &GroupId) -> u32 {
-        let rule = self.catalogue.groups.get(group);
-        let limit = rule.map_or(1, |rule| rule.max_connections);
-        let vms = u32::try_from(self.roster.len()).unwrap_or(u32::MAX);
-        let usual = u64::from(limit) * USED_PERCENT / 100;
-        let usual = u32::try_from(usual).unwrap_or(u32::MAX);
-        // Rounded to the nearest: the third that stays free covers what that is too much.
-        (usual.saturating_add(vms / 2) / vms).max(1)
+            .min(self.link_budget(group, id))
     }
 
     fn cost(&self, group: &Group, id: &MemberId, member: &Member, choice: &Choice) -> Duration {
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -85,6 +85,12 @@
         self.vms.len().max(1)
     }
 
+    /// Returns the place of a VM by name, the first one if it is not in the roster.
+    pub(crate) fn place(&self, vm: &VmId) -> u32 {
+        let place = self.vms.keys().position(|other| other == vm);
+        place.map_or(0, |place| u32::try_from(place).unwrap_or(u32::MAX))
+    }
+
     /// Returns the next other VM by name, after the last one the first.
     pub(crate) fn next_after(&self, vm: &VmId) -> Option<VmId> {
         let others = || self.vms.keys().filter(|other| *other != vm);
