Test that a borrower has nothing left after the end of a loan

The end is what keeps the sum under the rate when VMs cannot reach each other.

A borrower that accrues up to the present instead of the end does not fail it: the loan is dropped in the same call, so that bound has no effect of its own.

--- a/crates/core/tests/rates_safety.rs
+++ b/crates/core/tests/rates_safety.rs
@@ -196,6 +196,11 @@
 
     /// Answers the newest ask of the VM with a loan of five tokens.
     fn lend(&mut self, at_ms: u64, roster_version: u64) {
+        self.lend_stream(at_ms, roster_version, 5_000, 0);
+    }
+
+    /// Answers the newest ask of the VM with a loan of millitokens and of accrual.
+    fn lend_stream(&mut self, at_ms: u64, roster_version: u64, tokens: u64, stream: u64) {
         let asked = |action: &RatesAction| match action {
             RatesAction::Send {
                 message: RatesMessage::Ask { seq, .. },
@@ -205,10 +210,10 @@
         };
         let grant = Grant {
             workspace: "w".into(),
-            stream: 0,
-            stream_capacity: 0,
+            stream,
+            stream_capacity: stream / 10,
             fill: 0,
-            tokens: 5_000,
+            tokens,
             spare: 0,
         };
         let message = RatesMessage::Answer {
@@ -314,6 +319,26 @@
     assert_eq!(vm.admit(30), 0);
 }
 
+/// Guards against a borrower that spends a loan, or goes on accruing on it, after its end: the
+/// lender counts on the tokens from then on, and cannot tell the borrower when messages are lost.
+#[test]
+fn borrower_has_nothing_left_after_the_end_of_a_loan() {
+    // The ask is sent at 10 ms, and a loan lives for 400 ms from then on.
+    for (tokens, stream) in [(5_000, 0), (0, 100_000), (5_000, 100_000)] {
+        let borrow = || {
+            let mut vm = Lone::new(200, 100, &[]);
+            assert_eq!(vm.admit(10), 0);
+            vm.lend_stream(20, 1, tokens, stream);
+            vm
+        };
+        assert!(borrow().admit(400) >= 5, "{tokens} and {stream}");
+        let mut vm = borrow();
+        for at_ms in [411, 600, 2_000] {
+            assert_eq!(vm.admit(at_ms), 0, "{tokens} and {stream} at {at_ms} ms");
+        }
+    }
+}
+
 /// Guards against a lender that forgets a loan before the borrower does.
 #[test]
 fn loan_ends_at_the_borrower_first() {
