Give scarce tokens to the latest request once the oldest is late

Cause: after a restart of all VMs the buckets are empty, and requests wait up to 600 ms for a token.

Once the oldest has waited longer than the usual 100 ms, the latest gets the token; the expected wait, by which a request is refused at once, follows.

Test: late_statements_do_not_hold_up_one_that_can_be_in_time (failed first, refused as over the rate).

--- a/crates/core/src/rates/account.rs
+++ b/crates/core/src/rates/account.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::rates::MAX_WAIT;
 use crate::rates::TOKEN;
 use crate::rates::demand::Demand;
 use crate::rates::home::Home;
@@ -39,6 +40,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiting {
     pub(crate) request: RequestId,
+    pub(crate) since: MonoTime,
     pub(crate) until: MonoTime,
 }
 
@@ -188,8 +190,12 @@
     }
 
     /// Returns how long one more request would wait for its token without help of a peer.
-    pub(crate) fn expected_wait(&self) -> Duration {
-        let needed = (self.waiting.len() as u64 + 1) * TOKEN;
+    pub(crate) fn expected_wait(&self, now: MonoTime) -> Duration {
+        let ahead = match self.serves_latest_first(now) {
+            true => 0,
+            false => self.waiting.len() as u64,
+        };
+        let needed = (ahead + 1) * TOKEN;
         let missing = needed.saturating_sub(self.available());
         match self.stream() {
             _ if missing == 0 => Duration::ZERO,
@@ -198,6 +204,23 @@
         }
     }
 
+    /// Takes the request that gets the next token.
+    pub(crate) fn next_to_admit(&mut self, now: MonoTime) -> Option<Waiting> {
+        if self.serves_latest_first(now) {
+            self.waiting.pop_back()
+        } else {
+            self.waiting.pop_front()
+        }
+    }
+
+    /// Returns whether the latest request gets the next token, not the oldest. A request that has
+    /// waited longer than [`MAX_WAIT`] means that tokens are short for a while, and the order of
+    /// arrival would then make all of them late.
+    fn serves_latest_first(&self, now: MonoTime) -> bool {
+        let oldest = self.waiting.front();
+        oldest.is_some_and(|oldest| now.since(oldest.since) > MAX_WAIT)
+    }
+
     /// Starts the pause before the next round of asks for tokens.
     pub(crate) fn pause_asks(&mut self, now: MonoTime) {
         let pause = self.ask_pause.max(MIN_ASK_PAUSE);
--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -370,14 +370,18 @@
             return actions.push(refused(Reason::OverRate));
         }
         let until = deadline.min(now + self.max_wait);
-        if account.is_dry() && account.expected_wait() > until.since(now) {
+        if account.is_dry() && account.expected_wait(now) > until.since(now) {
             // No token can come in time, so the caller need not wait to hear so. The requests that
             // do wait go on asking.
             return actions.push(refused(Reason::OverRate));
         }
         let first = account.next_timeout.map_or(until, |first| first.min(until));
         account.next_timeout = Some(first);
-        account.waiting.push_back(Waiting { request, until });
+        account.waiting.push_back(Waiting {
+            request,
+            since: now,
+            until,
+        });
         serve(now, account, actions);
         if self.may_borrow() {
             self.fetch_tokens(now, workspace);
@@ -415,7 +419,7 @@
     links.get(peer).map_or(0, |link| link.seq)
 }
 
-/// Admits requests in the order of their arrival and refuses those that waited too long.
+/// Admits requests as far as there are tokens and refuses those that waited too long.
 fn serve(now: MonoTime, account: &mut Account, actions: &mut Vec<RatesAction>) {
     if account.next_timeout.is_some_and(|first| first <= now) {
         account.waiting.retain(|waiting| {
@@ -429,7 +433,7 @@
         account.next_timeout = account.waiting.iter().map(|waiting| waiting.until).min();
     }
     while !account.waiting.is_empty() && account.try_spend() {
-        let served = account.waiting.pop_front();
+        let served = account.next_to_admit(now);
         actions.extend(served.map(|waiting| RatesAction::Admitted {
             request: waiting.request,
         }));
--- a/crates/pool/tests/rates.rs
+++ b/crates/pool/tests/rates.rs
@@ -52,6 +52,31 @@
     }
 }
 
+/// Guards against tokens that go to the oldest of many statements while the buckets are still
+/// filling after a start: each of them would then be late.
+#[test]
+fn late_statements_do_not_hold_up_one_that_can_be_in_time() {
+    let mut limited = catalogue(1);
+    let rule = RateRule {
+        per_s: 10,
+        burst: 10,
+    };
+    limited.rates.insert(WorkspaceId::from("acme"), rule);
+    let mut rig = Rig::start(&[], limited);
+    for _ in 0..12 {
+        let caller = rig.session("primary-db");
+        rig.query(caller, "WRITE x 1");
+    }
+    rig.advance(150);
+    let fresh = rig.session("primary-db");
+    rig.query(fresh, "WRITE x 1");
+    // A token comes every 100 ms; without the others the statement waits for one of them at most.
+    rig.advance(105);
+    rig.serve(1);
+    let reply = rig.last_reply(fresh);
+    assert!(matches!(reply, Some(CallerReply::Done { .. })), "{reply:?}");
+}
+
 /// Guards against a rate that one VM exceeds alone.
 #[test]
 fn statements_over_the_rate_are_refused_as_not_run() {
