Do not take a member for down because it ended one connection

Cause: each connection that ended with an answer outstanding made the VM take the member for down and leave it alone for 100 ms or longer, unless another of its connections answered meanwhile.

A lost connection now counts as a failure of the member only if no other one is open. Otherwise the member gets nothing for 10 ms: when it has ended, the closes of the others arrive within that time, and no write is sent to one of them.

Tests: member_that_ends_one_connection_is_used_over_the_others (failed first), write_is_not_sent_between_the_closes_of_a_member_that_ends (fails without the 10 ms).

--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -89,7 +89,15 @@
             return;
         };
         let (group, member) = (link.group.clone(), link.member.clone());
-        if !link.is_open || !link.is_quiet() {
+        let is_expected = link.is_open && link.is_quiet();
+        let is_other = |other: &Link| other.id != id && other.member == member && other.is_open;
+        if !is_expected && link.is_open && self.links.values().any(is_other) {
+            // Members also end single connections. When the member itself has ended, the close of
+            // the others arrives at the same time.
+            if let Some(member) = self.member_of(id) {
+                member.lost_connection(now);
+            }
+        } else if !is_expected {
             self.note_failed(now, &group, &member, "connection lost", actions);
         }
         self.lose_link(now, id, actions);
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -31,6 +31,10 @@
 /// The first wait before a member that failed is tried again.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 
+/// How long a member gets no statement after one of its connections was lost: the closes of all
+/// connections to a member that ends arrive within a few milliseconds.
+const LOSS_PAUSE: Duration = Duration::from_millis(10);
+
 /// The longest wait before a member that failed is tried again.
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
 
@@ -228,6 +232,12 @@
         is_first
     }
 
+    /// Notes that a connection was lost while others are open. Nothing is sent until it has shown
+    /// whether those end as well.
+    pub(crate) fn lost_connection(&mut self, now: MonoTime) {
+        self.retry_at = self.retry_at.max(now + LOSS_PAUSE);
+    }
+
     /// Notes that the member has refused a connection. Those that are open are not concerned.
     pub(crate) fn refused_connection(&mut self, now: MonoTime) {
         self.opens_from = now + FIRST_RETRY;
--- a/crates/pool/tests/connections.rs
+++ b/crates/pool/tests/connections.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::WorkspaceId;
 use lycheedoor_pool::GroupRule;
@@ -93,6 +94,60 @@
     }
 }
 
+/// Opens connections to the primary for two callers and leaves a statement of each unanswered.
+fn two_running_statements(rig: &mut Rig) -> [ConnectionId; 2] {
+    for _ in 0..2 {
+        let caller = rig.session("primary-db");
+        rig.query(caller, "WRITE x 1");
+        rig.accept_links();
+    }
+    // The second one waits for the connection of the first for a while.
+    rig.advance(260);
+    rig.accept_links();
+    let links: Vec<ConnectionId> = rig.links.keys().copied().collect();
+    while rig.take_command(PRIMARY).is_some() {}
+    links.try_into().unwrap()
+}
+
+fn lose(rig: &mut Rig, link: ConnectionId) {
+    rig.links.remove(&link);
+    rig.event(PoolEvent::LinkClosed { link });
+}
+
+/// Guards against a member that is taken for down since it has ended one connection, while the
+/// others work.
+#[test]
+fn member_that_ends_one_connection_is_used_over_the_others() {
+    let mut rig = Rig::new();
+    let [lost, _] = two_running_statements(&mut rig);
+    lose(&mut rig, lost);
+    let caller = rig.session_with("primary-db", "key-of-brix");
+    rig.query(caller, "WRITE x 2");
+    rig.advance(20);
+    rig.accept_links();
+    let command = rig.take_command(PRIMARY).map(|(_, command)| command);
+    assert!(
+        matches!(command, Some(MemberCommand::Forward { .. })),
+        "{command:?}"
+    );
+}
+
+/// Guards against a write whose outcome is unknown because it was sent over a connection of a
+/// member that had ended: the closes of its connections arrive one after the other.
+#[test]
+fn write_is_not_sent_between_the_closes_of_a_member_that_ends() {
+    let mut rig = Rig::new();
+    let [first, second] = two_running_statements(&mut rig);
+    rig.succeed(second, TransactionState::Idle, 1);
+    lose(&mut rig, first);
+    let caller = rig.session("primary-db");
+    rig.query(caller, "WRITE x 2");
+    assert!(rig.links[&second].sent.is_empty());
+    lose(&mut rig, second);
+    rig.advance(20);
+    assert_eq!(rig.last_reply(caller), None);
+}
+
 /// Guards against a busy workspace that loses its connection to each of the others in turn, and
 /// then takes it back: each change occupies a slot of the member.
 #[test]
