Explain a failed statement from the log files of all VMs

Until now it took grep and reading eight files; the time line of a VM is lost with it.

`lycheedoor-ctl explain log STATEMENT FILE...` prints the statement's own lines and then what the VMs noted around it: events of its group on any VM, of store, configuration and peers on its own, starts and stops of all. The same line of several VMs is shown once. Lines may carry the name of their VM as a prefix; otherwise the start line or the file name gives it.

`jiff`, which the logging library uses already, parses the times.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,6 +1,7 @@
 //! Command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use clap::Arg;
 use clap::ArgAction;
@@ -16,6 +17,7 @@
   lycheedoor-ctl data-centre out east --platform 10.0.0.100:8080
   lycheedoor-ctl keys withdraw acme --platform 10.0.0.100:8080 < key.txt
   lycheedoor-ctl timeline --group invoices --last-s 60 --platform 10.0.0.100:8080
+  lycheedoor-ctl explain log 903436ce2443323d /var/log/lycheedoor/*.log
   lycheedoor-ctl status --vm-address 10.0.0.1:7001 --vm-address 10.0.0.2:7001
 
 A change is in force everywhere within seconds; `status` shows the version on each VM. A planned
@@ -144,6 +146,23 @@
                 .arg(name_argument("group", "GROUP", "Name of the group"))
                 .args(period()),
         )
+        .subcommand(
+            Command::new("log")
+                .about("What the log files of all VMs say of a statement, and around it")
+                .arg(name_argument(
+                    "statement",
+                    "STATEMENT",
+                    "Identifier of the statement, as its caller sent it",
+                ))
+                .arg(
+                    Arg::new("log")
+                        .required(true)
+                        .num_args(1..)
+                        .value_name("FILE")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Log files, with JSON lines; best those of all VMs"),
+                ),
+        )
 }
 
 fn with_platform(command: Command) -> Command {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -1,5 +1,8 @@
 //! Why a command failed, and its exit code.
 
+use std::io;
+use std::path::PathBuf;
+
 use lycheedoor_platform::ChangeError;
 use lycheedoor_platform::EXIT_NOT_SERVED;
 use lycheedoor_platform::EXIT_REFUSED;
@@ -21,6 +24,14 @@
     /// No record of the time line matches.
     #[error("{0}")]
     NotFound(String),
+    /// A log file cannot be read.
+    #[error("cannot read the log {}: {error}", path.display())]
+    Log {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        error: io::Error,
+    },
     /// The platform cannot be read.
     #[error(transparent)]
     Platform(#[from] PlatformError),
@@ -32,7 +43,7 @@
 impl CtlError {
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage(_) => EXIT_USAGE,
+            Self::Usage(_) | Self::Log { .. } => EXIT_USAGE,
             Self::NotFound(_) => EXIT_NOT_FOUND,
             Self::Platform(PlatformError::TooLarge) => EXIT_REFUSED,
             Self::Platform(_) => EXIT_NOT_SERVED,
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -16,6 +16,7 @@
 use lycheedoor_core::types::VmId;
 
 use crate::error::CtlError;
+use crate::log_story;
 use crate::timeline;
 
 type ExplainRequest = fn(&[Entry], &VmId, RequestId) -> Explanation;
@@ -24,6 +25,9 @@
     let Some((question, arguments)) = command.subcommand() else {
         return Err(CtlError::Usage("a question is missing".into()));
     };
+    if question == "log" {
+        return log_story::run(arguments);
+    }
     let entries = timeline::collect(arguments)?;
     match question {
         "promotion" => promotion(&entries, arguments),
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod fleet;
 mod hash;
+mod log_story;
 mod status;
 mod table;
 mod timeline;
