Measure the time in the queue and the time at the member

The pool knows when a statement was given to a connection, so its report carries the wait as well: lycheedoor_wait_seconds by route and lycheedoor_member_seconds by group.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -12,10 +12,12 @@
 use lycheedoor_telemetry::emit_limited;
 use lycheedoor_telemetry::events;
 use lycheedoor_telemetry::metrics::CONFIG_VERSION;
+use lycheedoor_telemetry::metrics::MEMBER_SECONDS;
 use lycheedoor_telemetry::metrics::READS;
 use lycheedoor_telemetry::metrics::REFUSALS;
 use lycheedoor_telemetry::metrics::STATEMENT_SECONDS;
 use lycheedoor_telemetry::metrics::STATEMENTS;
+use lycheedoor_telemetry::metrics::WAIT_SECONDS;
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
@@ -149,6 +151,7 @@
         group,
         access,
         by_primary,
+        waited,
         elapsed,
     } = report
     else {
@@ -168,6 +171,9 @@
         counter!(READS.name, &labels).increment(1);
     }
     histogram!(STATEMENT_SECONDS.name, "route" => route.clone()).record(elapsed.as_secs_f64());
+    histogram!(WAIT_SECONDS.name, "route" => route.clone()).record(waited.as_secs_f64());
+    let at_member = elapsed.saturating_sub(*waited);
+    histogram!(MEMBER_SECONDS.name, "group" => group.to_string()).record(at_member.as_secs_f64());
 }
 
 fn write_failure(report: &Report) {
--- a/crates/pool/src/answers.rs
+++ b/crates/pool/src/answers.rs
@@ -269,6 +269,7 @@
                         group: group.clone(),
                         access: current.work.access(),
                         by_primary: primary == Some(&member),
+                        waited: current.placed_at.since(current.started_at),
                         elapsed,
                     }));
                 }
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -120,6 +120,8 @@
         access: Access,
         /// Whether the primary ran it.
         by_primary: bool,
+        /// Time from the statement's arrival until it was given to a connection.
+        waited: Duration,
         /// Time since the statement arrived.
         elapsed: Duration,
     },
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -73,6 +73,24 @@
     description: "time from the arrival of a statement to its answer",
 };
 
+/// Measures time from the arrival of a statement until it was given to a connection.
+pub const WAIT_SECONDS: MetricKind = MetricKind {
+    name: "lycheedoor_wait_seconds",
+    metric_type: MetricType::Histogram,
+    unit: metrics::Unit::Seconds,
+    labels: &["route"],
+    description: "time from the arrival of a statement until it was given to a connection",
+};
+
+/// Measures time that a member took for a statement, with the opening of a connection.
+pub const MEMBER_SECONDS: MetricKind = MetricKind {
+    name: "lycheedoor_member_seconds",
+    metric_type: MetricType::Histogram,
+    unit: metrics::Unit::Seconds,
+    labels: &["group"],
+    description: "time that a member took for a statement, with the opening of a connection",
+};
+
 /// Measures statements in the queue.
 pub const QUEUED_STATEMENTS: MetricKind = MetricKind {
     name: "lycheedoor_queued_statements",
@@ -232,6 +250,8 @@
     &REFUSALS,
     &READS,
     &STATEMENT_SECONDS,
+    &WAIT_SECONDS,
+    &MEMBER_SECONDS,
     &QUEUED_STATEMENTS,
     &RETRIES,
     &CALLER_CONNECTIONS,
