Say how many log lines were lost while nobody read them

The buffer of log lines dropped and counted what it could not hold, but nothing ever asked for the count.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -230,7 +230,7 @@
     fn deadline(&mut self, cx: CX![]) {
         self.timer.clear(cx);
         self.report(cx, PoolEvent::DeadlineReached);
-        self.log.flush();
+        self.write_log();
         let now = self.now(cx.now());
         if now >= self.upkeep_due {
             self.upkeep_due = now + UPKEEP_INTERVAL;
@@ -238,6 +238,18 @@
         }
     }
 
+    /// Writes the log as far as it is read, and says what was lost while it was not.
+    fn write_log(&self) {
+        self.log.flush();
+        let dropped = self.log.take_dropped();
+        if dropped > 0 {
+            emit(
+                &events::LINES_LEFT_OUT,
+                &["unread log".into(), dropped.into()],
+            );
+        }
+    }
+
     pub(crate) fn stop_signal(&mut self, cx: CX![], _: Ready) {
         self.report(cx, PoolEvent::StopRequested);
     }
--- a/crates/telemetry/src/log_buffer.rs
+++ b/crates/telemetry/src/log_buffer.rs
@@ -1,6 +1,7 @@
 //! Logging that never waits for whoever reads the log.
 
 use std::io::Write;
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -43,10 +44,14 @@
 impl LogBuffer {
     /// Writes what standard output takes without blocking.
     pub fn flush(&self) {
+        self.flush_to(std::io::stdout());
+    }
+
+    /// Writes what a file or pipe takes without blocking.
+    pub fn flush_to(&self, out: impl AsFd) {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        let stdout = std::io::stdout();
         while !lines.bytes.is_empty() {
-            let mut ready = [PollFd::new(&stdout, PollFlags::OUT)];
+            let mut ready = [PollFd::new(&out, PollFlags::OUT)];
             let now = Timespec {
                 tv_sec: 0,
                 tv_nsec: 0,
@@ -55,7 +60,7 @@
                 return;
             }
             let count = lines.bytes.len().min(WRITE_BYTES);
-            match rustix::io::write(&stdout, lines.bytes.get(..count).unwrap_or_default()) {
+            match rustix::io::write(&out, lines.bytes.get(..count).unwrap_or_default()) {
                 Ok(written) => drop(lines.bytes.drain(..written)),
                 // Nobody reads the log any more; there is no other place to say so.
                 Err(_) => return lines.bytes.clear(),
@@ -63,12 +68,13 @@
         }
     }
 
-    /// Returns how many lines were dropped since the start.
-    pub fn dropped(&self) -> u64 {
-        self.lines
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .dropped
+    /// Returns how many lines were dropped since the last call, once all others are written.
+    pub fn take_dropped(&self) -> u64 {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        match lines.bytes.is_empty() {
+            true => std::mem::take(&mut lines.dropped),
+            false => 0,
+        }
     }
 
     fn push(&self, line: &[u8]) {
