Take over changed settings without a restart

SIGHUP only checked the file, and a silent change went unnoticed: a VM would have gone on asking a store that had moved.

The file is read again on SIGHUP, and when its time of change differs at the upkeep every 5 s (one system call). The addresses of the store and of promotions, the grace period and the life of keys take effect at once; with another store everything is listed again, since its revisions may not be those of before. What a process is (names, its own addresses) needs a restart, and the log line says so.

Tests: changed_settings_take_effect_without_a_restart (with and without a signal; failed first because the former revision was watched at the new store), reload_signal_keeps_the_process as before.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -16,7 +16,6 @@
 use lycheedoor_pool::Pool;
 use lycheedoor_pool::PoolAction;
 use lycheedoor_pool::PoolEvent;
-use lycheedoor_telemetry::FieldValue;
 use lycheedoor_telemetry::LogBuffer;
 use lycheedoor_telemetry::MetricsHandle;
 use lycheedoor_telemetry::emit;
@@ -34,6 +33,7 @@
 use crate::peers::PeerIn;
 use crate::peers::PeerOut;
 use crate::probes::ProbeConnection;
+use crate::reload::SettingsSource;
 use crate::reports::write_report;
 use crate::run::Addresses;
 use crate::run::Borders;
@@ -45,7 +45,7 @@
 /// that fires a little early by the pool's would be set again and again until the time has come.
 const TIMER_SLACK: Duration = Duration::from_millis(1);
 
-/// Time between two calls that bound the memory of histograms.
+/// Time between two calls that bound the memory of histograms and look for changed settings.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// A socket whose output has to be written.
@@ -66,7 +66,8 @@
     pub(crate) metrics: MetricsHandle,
     log: LogBuffer,
     upkeep_due: MonoTime,
-    check_settings: Box<dyn Fn() -> Result<(), String>>,
+    pub(crate) settings: Box<dyn SettingsSource>,
+    pub(crate) settings_modified: Option<SystemTime>,
     pub(crate) next_socket: u64,
     pub(crate) callers: BTreeMap<u64, CallerConnection>,
     pub(crate) members: BTreeMap<u64, MemberConnection>,
@@ -99,7 +100,8 @@
             metrics: setup.metrics,
             log: setup.log,
             upkeep_due: MonoTime::ZERO,
-            check_settings: setup.check_settings,
+            settings_modified: setup.settings.modified(),
+            settings: setup.settings,
             next_socket: 0,
             callers: BTreeMap::new(),
             members: BTreeMap::new(),
@@ -235,6 +237,7 @@
         if now >= self.upkeep_due {
             self.upkeep_due = now + UPKEEP_INTERVAL;
             self.metrics.run_upkeep();
+            self.reload_if_modified(cx);
         }
     }
 
@@ -254,16 +257,6 @@
         self.report(cx, PoolEvent::StopRequested);
     }
 
-    /// Checks the settings again. What they hold is fixed for the life of the process; an operator
-    /// learns here whether the next start will accept them.
-    pub(crate) fn reload_signal(&mut self, _: CX![], _: Ready) {
-        let checked = (self.check_settings)();
-        let result = checked
-            .as_ref()
-            .map_or_else(|error| error.as_str(), |()| "valid");
-        emit(&events::SETTINGS_RELOADED, &[FieldValue::from(result)]);
-    }
-
     /// Returns the wall clock for the stamps of messages.
     pub(crate) fn wall_time() -> WallTime {
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -35,6 +35,7 @@
 use crate::borders::PromotionCodec;
 use crate::borders::StoreCodec;
 use crate::driver::Driver;
+use crate::reload::SettingsSource;
 
 /// Events that one poll can report.
 const EVENTS_A_POLL: usize = 1024;
@@ -85,8 +86,8 @@
     pub metrics: MetricsHandle,
     /// The log lines that wait to be written.
     pub log: LogBuffer,
-    /// Checks the settings file when the process is told that it has changed.
-    pub check_settings: Box<dyn Fn() -> Result<(), String>>,
+    /// Where settings are read again.
+    pub settings: Box<dyn SettingsSource>,
 }
 
 /// The event loop could not be set up or has failed.
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -192,17 +192,34 @@
     }
 
     fn read_failed(&mut self, cx: CX![], kind: ObjectKind, cause: &str) {
+        if self.end_read(cx, kind, ObjectAnswer::Unavailable) {
+            warn_unreachable(kind.as_str(), cause);
+        }
+    }
+
+    /// Ends the connections to the store, which is elsewhere now, and reads everything again:
+    /// nothing says that the revisions there are those of before.
+    pub(crate) fn move_to_store(&mut self, cx: CX![], address: SocketAddr) {
+        self.addresses.store = address;
+        for kind in ObjectKind::ALL {
+            self.end_read(cx, kind, ObjectAnswer::HistoryGone);
+        }
+        self.write_failed(cx);
+    }
+
+    /// Ends the connection of a kind and answers its call, if there is one.
+    fn end_read(&mut self, cx: CX![], kind: ObjectKind, answer: ObjectAnswer) -> bool {
         let Some(reader) = self.readers.get_mut(&kind) else {
-            return;
+            return false;
         };
         reader.link = None;
-        if let Some((_, timer)) = reader.call.take() {
-            cx.timer_del(timer);
-            warn_unreachable(kind.as_str(), cause);
-            let answer = ObjectAnswer::Unavailable;
-            count_call(kind.as_str(), &answer);
-            self.report(cx, PoolEvent::ObjectsRead { kind, answer });
-        }
+        let Some((_, timer)) = reader.call.take() else {
+            return false;
+        };
+        cx.timer_del(timer);
+        count_call(kind.as_str(), &answer);
+        self.report(cx, PoolEvent::ObjectsRead { kind, answer });
+        true
     }
 
     pub(crate) fn write_store(
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -174,6 +174,12 @@
         self.run_due(now, actions);
     }
 
+    /// Changes time limits that came with the settings.
+    pub fn set_limits(&mut self, stop_grace: Duration, key_life: Option<Duration>) {
+        self.settings.stop_grace = stop_grace;
+        self.settings.key_life = key_life;
+    }
+
     /// Returns when the pool wants to be called again.
     pub fn next_deadline(&self) -> MonoTime {
         let followers = self.followers.values();
