Split the rates role's slots and message numbers into files of their own

What a change of the roster means for buckets and loans is in slots.rs, the numbers of the messages to a peer in link.rs. Nothing else has changed.

--- a/crates/core/src/rates/borrow.rs
+++ b/crates/core/src/rates/borrow.rs
@@ -1,7 +1,5 @@
 //! Asking peers for tokens and accrual, and answering them.
 
-use std::collections::VecDeque;
-
 use crate::rates::BORROWER_LIFE;
 use crate::rates::Lending;
 use crate::rates::NANOS_PER_MILLITOKEN;
@@ -26,32 +24,6 @@
 /// A wish for less than this part of a peer's accrual is not worth a loan.
 const MIN_STREAM_PART: u64 = 50;
 
-/// The numbers of the messages to one peer.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Link {
-    /// The newest ask sent.
-    pub(crate) seq: u64,
-    sent: VecDeque<(u64, MonoTime)>,
-}
-
-impl Link {
-    fn record(&mut self, now: MonoTime) -> u64 {
-        self.seq += 1;
-        self.sent.push_back((self.seq, now));
-        while let Some((_, sent)) = self.sent.front()
-            && now.since(*sent) > BORROWER_LIFE
-        {
-            self.sent.pop_front();
-        }
-        self.seq
-    }
-
-    fn sent_at(&self, seq: u64) -> Option<MonoTime> {
-        let entry = self.sent.iter().find(|entry| entry.0 == seq);
-        entry.map(|entry| entry.1)
-    }
-}
-
 impl Rates {
     /// Writes the asks that are due: renewals at fixed intervals, tokens when they are short.
     pub(crate) fn ask_peers(&mut self, now: MonoTime) {
