Keep the limit of a cold member in any second and with many VMs

Two bursts around the end of a second were up to twice the limit, and 90 VMs sent 90 statements to a member that takes ten.

No more VMs use a cold member than its limit has whole statements. Each has a bucket of one statement that fills with its part of half the limit, so that any second has at most one and a half times the limit even when all send at once, without messages between VMs.

Tests: parts_of_all_vms_keep_the_limit_in_any_second (0.5 to 200 a second, up to 119 VMs, against the bound of the rule), and cold_replicas_get_their_limit_in_any_second (fails without the bucket).

--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -3,10 +3,13 @@
 //! Members refuse connections beyond a number for all VMs together. Each VM works out its part
 //! from the roster alone, so that no message between VMs is needed before a connection is opened.
 
+use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::rendezvous_weight;
 
+use crate::cold::cold_part;
+use crate::member::MemberEntry;
 use crate::pool::Pool;
 
 /// Returns the part of a VM in the connections that a member takes from `vms` VMs.
@@ -27,11 +30,33 @@
     pub(crate) fn link_budget(&self, group: &GroupId, member: &MemberId) -> u32 {
         let rule = self.catalogue.groups.get(group);
         let limit = rule.map_or(1, |rule| rule.max_connections);
+        let (vms, place) = self.place_at(member);
+        connection_part(limit, vms, place)
+    }
+
+    /// Returns how many statements a second this VM may send to a member; nothing without a limit, 0
+    /// if the member is left to other VMs.
+    pub(crate) fn cold_limit(&self, member: &MemberEntry) -> Option<f64> {
+        let rule = self.catalogue.groups.get(&member.group)?;
+        let limit = rule.cold_per_s.filter(|_| !member.cold_left.is_zero())?;
+        let (vms, place) = self.place_at(&member.id);
+        Some(cold_part(limit, vms, place).unwrap_or_default())
+    }
+
+    /// Returns the same for the member of a connection.
+    pub(crate) fn cold_limit_over(&self, link: ConnectionId) -> Option<f64> {
+        let link = self.links.get(&link)?;
+        let group = self.groups.get(&link.group)?;
+        self.cold_limit(&group.members.get(&link.member)?.entry)
+    }
+
+    /// Returns the number of VMs and the place of this one. Each member counts from another VM, so
+    /// that the larger parts are not all of the same.
+    fn place_at(&self, member: &MemberId) -> (u32, u32) {
         let vms = u32::try_from(self.roster.len()).unwrap_or(u32::MAX);
-        // Each member counts from another VM, so that the larger parts are not all of the same.
         let shift = rendezvous_weight(&[member.as_str().as_bytes()]) % u64::from(vms);
         let shift = u32::try_from(shift).unwrap_or_default();
         let place = self.roster.place(&self.settings.vm);
-        connection_part(limit, vms, place.saturating_add(shift))
+        (vms, place.saturating_add(shift))
     }
 }
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -9,6 +9,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 
+use crate::cold::ColdBucket;
 use crate::usage::Usage;
 
 /// How long an entry that vanished is still used while the member answers. Entries that lapsed
@@ -112,8 +113,8 @@
     pub(crate) links: u32,
     /// Which workspaces need connections to the member.
     pub(crate) usage: Usage,
-    cold_second: u64,
-    cold_sent: f64,
+    /// What this VM may send while the member is cold.
+    pub(crate) cold: ColdBucket,
 }
 
 impl Member {
@@ -143,8 +144,7 @@
             busy: 0,
             links: 0,
             usage: Usage::default(),
-            cold_second: 0,
-            cold_sent: 0.0,
+            cold: ColdBucket::default(),
         }
     }
 
@@ -299,23 +299,4 @@
     pub(crate) fn expected_answer(&self) -> Duration {
         self.answer * (self.busy + 1)
     }
-
-    /// Returns whether a cold member may get one more statement in this second, with this VM's
-    /// part of its limit.
-    pub(crate) fn has_cold_room(&self, now: MonoTime, share_per_s: f64) -> bool {
-        second_of(now) != self.cold_second || self.cold_sent + 1.0 <= share_per_s.max(1.0)
-    }
-
-    /// Counts a statement that is sent to the member.
-    pub(crate) fn count_sent(&mut self, now: MonoTime) {
-        if second_of(now) != self.cold_second {
-            self.cold_second = second_of(now);
-            self.cold_sent = 0.0;
-        }
-        self.cold_sent += 1.0;
-    }
-}
-
-fn second_of(now: MonoTime) -> u64 {
-    now.as_micros() / 1_000_000
 }
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -134,14 +134,10 @@
             && !self.evacuated.contains(&member.entry.data_centre)
     }
 
-    /// Returns whether a member may get a statement although it is cold: its limit is split over
-    /// the VMs.
+    /// Returns whether a member may get a statement although it is cold.
     fn takes_while_cold(&self, now: MonoTime, member: &Member) -> bool {
-        let rule = self.catalogue.groups.get(&member.entry.group);
-        let limit = rule.and_then(|rule| rule.cold_per_s);
-        let vms = u32::try_from(self.roster.len()).unwrap_or(u32::MAX);
-        member.entry.cold_left.is_zero()
-            || limit.is_none_or(|limit| member.has_cold_room(now, limit / f64::from(vms)))
+        let limit = self.cold_limit(&member.entry);
+        limit.is_none_or(|per_s| member.cold.has_room(now, per_s))
     }
 
     /// Returns how a workspace can get a connection to a member now.
@@ -286,9 +282,12 @@
         if let Some(transaction) = &mut session.transaction {
             transaction.link = Some(id);
         }
+        let cold_limit = self.cold_limit_over(id);
         if let Some(member) = self.member_of(id) {
             member.busy += u32::from(is_new_owner);
-            member.count_sent(now);
+            if let Some(per_s) = cold_limit {
+                member.cold.take(now, per_s);
+            }
             if is_new_owner {
                 member.usage.count(now, &workspace);
             }
