Promote only when enough members have said what they hold

The primary crashed at 16.2 s, the other replica was promoted and crashed at 18.6 s. The survey asked those that could be promoted, which was the deaf replica alone, and took its answer as complete: "all have answered" did not count members that were down.

With confirming replicas a promotion after a loss now needs answers of all members but as many as have to confirm, the lost primary among those that may be missing; a commit is then in one that has answered. Members that went away without announcing it count for 30 s, leaving ones are asked as well, and nobody is promoted who has less than one of those asked. Without confirming replicas nothing changes.

Ruled out: comparing with the highest position that a VM has seen. It counts commits that nobody has confirmed yet, so that a group whose primary is gone for good could wait for ever.

Tests: replica_that_may_lack_confirmed_commits_is_not_promoted (failed first), primary_with_confirming_replicas_is_replaced.

--- a/crates/pool/src/directory.rs
+++ b/crates/pool/src/directory.rs
@@ -159,7 +159,7 @@
             .filter(|(_, member)| member.is_gone(now));
         let gone: Vec<_> = gone.map(|(member, _)| member.clone()).collect();
         for member in &gone {
-            group.members.remove(member);
+            group.remove_member(now, member);
         }
         if let Some(evidence) = group.settle_primary(now) {
             actions.push(PoolAction::Report(Report::PrimaryChanged {
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -254,6 +254,16 @@
     }
 }
 
+/// Returns the members that can say what they have received.
+fn voters(now: MonoTime, group: &Group) -> Vec<MemberId> {
+    let can_answer = |id: &MemberId, member: &Member| {
+        group.primary.as_ref() != Some(id) && member.down_since.is_none() && !member.is_gone(now)
+    };
+    let members = group.members.iter();
+    let members = members.filter(|(id, member)| can_answer(id, member));
+    members.map(|(id, _)| id.clone()).collect()
+}
+
 /// Returns the members that may become the primary.
 fn candidates(
     now: MonoTime,
--- a/crates/pool/src/failover/survey.rs
+++ b/crates/pool/src/failover/survey.rs
@@ -15,6 +15,7 @@
 use crate::failover::RETRY_PAUSE;
 use crate::failover::candidates;
 use crate::failover::report;
+use crate::failover::voters;
 use crate::link::Link;
 use crate::link::Owner;
 use crate::link::Purpose;
@@ -91,6 +92,11 @@
             return;
         };
         let candidates = candidates(now, group, &self.evacuated);
+        let holders = group.holders(now);
+        let asked = match (sync_replicas, cause) {
+            (0, _) | (_, Cause::Planned) => candidates.clone(),
+            (_, Cause::Lost) => voters(now, group),
+        };
         let Phase::Surveying {
             until,
             repeat_at,
@@ -101,27 +107,41 @@
         else {
             return;
         };
-        let answered = candidates
-            .iter()
-            .filter(|member| received.contains_key(*member))
-            .count();
-        let is_complete = answered == candidates.len() && answered > 0;
+        let newest = |members: &[MemberId]| {
+            let positions = members.iter().filter_map(|member| received.get(member));
+            positions.max().copied()
+        };
+        let answered = asked.iter().filter(|member| received.contains_key(*member));
+        let answered = answered.count();
+        let is_complete = answered == asked.len() && answered > 0;
         let has_all = match (cause, *handed_over) {
             (Cause::Lost, _) => true,
             (Cause::Planned, None) => false,
-            (Cause::Planned, Some(last)) => received
-                .iter()
-                .any(|(member, position)| candidates.contains(member) && *position >= last),
+            (Cause::Planned, Some(last)) => newest(&candidates) >= Some(last),
+        };
+        // A confirmed commit is in the primary and as many others as have to confirm. So each is in
+        // one of the members that have answered, if no more than those others are missing.
+        let keeps_confirmed = match (sync_replicas, cause) {
+            (0, _) => true,
+            (_, Cause::Planned) => has_all,
+            (confirming, Cause::Lost) => {
+                let confirming = usize::try_from(confirming).unwrap_or(usize::MAX);
+                answered.saturating_add(confirming) >= holders
+                    && newest(&candidates) >= newest(&asked)
+            }
         };
         let is_due = now >= *until;
-        // Where replicas confirm commits, each confirmed commit is in one of them: all must have
-        // answered before the newest is known.
-        let may_choose = sync_replicas == 0 || is_complete;
-        if is_complete && has_all || is_due && answered > 0 && may_choose {
+        if keeps_confirmed && (is_complete && has_all || is_due && newest(&candidates).is_some()) {
             return self.promote_newest(now, id, &candidates, actions);
         }
         if is_due {
-            report(id, "no replica answers", group.primary.clone(), 0, actions);
+            report(
+                id,
+                "no replica is known to have all",
+                group.primary.clone(),
+                0,
+                actions,
+            );
             return group.failover.pause(now, RETRY_PAUSE);
         }
         if now >= *repeat_at {
@@ -129,7 +149,7 @@
             let term = group.highest_term().next();
             let primary = group.primary.clone().filter(|_| cause == Cause::Planned);
             let pauses = sync_replicas > 0 && cause == Cause::Lost;
-            for member in candidates {
+            for member in asked {
                 let command = if pauses {
                     MemberCommand::Pause(term)
                 } else {
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -17,6 +17,10 @@
 /// staleness bounds.
 const MAX_SAMPLES: usize = 48;
 
+/// How long a member that went away unannounced counts as one that may come back with commits that
+/// no other has. Members that crash are back after some ten seconds.
+const LAPSED_MEMORY: Duration = Duration::from_secs(30);
+
 /// How long a draining primary still gets statements while its replacement is under way. Members
 /// take new work for at least 7 s after they announced that they leave.
 const DRAINING_PRIMARY_USE: Duration = Duration::from_millis(4_500);
@@ -33,6 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
     pub(crate) members: BTreeMap<MemberId, Member>,
+    /// When members went away without having announced it.
+    lapsed: BTreeMap<MemberId, MonoTime>,
     pub(crate) primary: Option<MemberId>,
     /// A promotion that the platform accepted, with its fencing token.
     announced: Option<(MemberId, u64)>,
@@ -46,6 +52,25 @@
 }
 
 impl Group {
+    /// Removes a member that is gone. One that had not announced that it leaves may come back with
+    /// its log, and commits may be in no other.
+    pub(crate) fn remove_member(&mut self, now: MonoTime, id: &MemberId) {
+        let removed = self.members.remove(id);
+        if removed.is_some_and(|member| member.draining_since.is_none()) {
+            self.lapsed
+                .retain(|_, since| now.since(*since) < LAPSED_MEMORY);
+            self.lapsed.insert(id.clone(), now);
+        }
+    }
+
+    /// Returns how many members may hold confirmed commits, the primary included.
+    pub(crate) fn holders(&self, now: MonoTime) -> usize {
+        let is_away = |(id, since): &(&MemberId, &MonoTime)| {
+            !self.members.contains_key(*id) && now.since(**since) < LAPSED_MEMORY
+        };
+        self.members.len() + self.lapsed.iter().filter(is_away).count()
+    }
+
     /// Notes that the platform accepted a promotion.
     pub(crate) fn announce(&mut self, member: MemberId, token: u64) {
         if self.announced.as_ref().is_none_or(|known| known.1 < token) {
--- a/crates/pool/tests/failover.rs
+++ b/crates/pool/tests/failover.rs
@@ -9,6 +9,7 @@
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::VmId;
+use lycheedoor_pool::GroupRule;
 use lycheedoor_pool::MemberCommand;
 use lycheedoor_pool::MemberFault;
 use lycheedoor_pool::ObjectAnswer;
@@ -30,9 +31,15 @@
 
 /// Lets time pass while connections to the primary are refused and the replicas answer.
 fn advance_with_dead_primary(rig: &mut Rig, millis: u64) {
+    advance_with_dead(rig, millis, &[PRIMARY]);
+}
+
+/// Lets time pass while connections to some members are refused and the other replicas answer.
+fn advance_with_dead(rig: &mut Rig, millis: u64, members: &[&str]) {
     for _ in 0..millis / 5 {
         rig.advance(5);
-        let dead = rig.links.iter().filter(|(_, link)| link.member == PRIMARY);
+        let dead = rig.links.iter();
+        let dead = dead.filter(|(_, link)| members.contains(&link.member.as_str()));
         let dead: Vec<ConnectionId> = dead.map(|(id, _)| *id).collect();
         for link in dead {
             rig.links.remove(&link);
@@ -42,7 +49,9 @@
         for (replica, received) in [("m2", 8), ("m3", 9)] {
             while let Some((link, command)) = rig.take_command(replica) {
                 match command {
-                    MemberCommand::Status => rig.report_status(link, false, received),
+                    MemberCommand::Status | MemberCommand::Pause(_) => {
+                        rig.report_status(link, false, received);
+                    }
                     _ => rig.succeed(link, TransactionState::Idle, received),
                 }
             }
@@ -124,6 +133,64 @@
     assert_eq!(promoted(&rig), Some(("m3".to_owned(), 900)));
 }
 
+/// A rig of a group in which one replica has to confirm each commit.
+fn confirming_rig() -> Rig {
+    let mut rules = support::catalogue(1);
+    let rule = GroupRule {
+        sync_replicas: 1,
+        ..support::group_rule()
+    };
+    rules.groups.insert(GROUP.into(), rule);
+    Rig::start(&PEERS, rules)
+}
+
+/// Guards against a replica that lacks confirmed commits and is promoted since it alone answers:
+/// the other one, which may have confirmed them, is down as well.
+#[test]
+fn replica_that_may_lack_confirmed_commits_is_not_promoted() {
+    let mut rig = confirming_rig();
+    kill_primary(&mut rig);
+    let dead = [PRIMARY, "m3"];
+    // A read finds out that the other replica is down.
+    rig.sample(1);
+    let caller = rig.session("bounded-db");
+    rig.query(caller, "READ x");
+    assert!(run_to_claim(&mut rig, 2_000, None));
+    grant_claim(&mut rig, 900);
+    advance_with_dead(&mut rig, 1_000, &dead);
+    rig.change(ObjectKind::Members, "m3", None);
+    advance_with_dead(&mut rig, 4_000, &dead);
+    assert_eq!(promoted(&rig), None);
+
+    rig.change(
+        ObjectKind::Members,
+        "m3",
+        Some(ObjectValue::Member(member("m3", false))),
+    );
+    for _ in 0..400 {
+        advance_with_dead_primary(&mut rig, 5);
+        answer_asks(&mut rig, None);
+        if claims(&rig) > 0 {
+            rig.others
+                .retain(|action| !matches!(action, PoolAction::WriteRecord { .. }));
+            grant_claim(&mut rig, 901);
+        }
+    }
+    assert_eq!(promoted(&rig), Some(("m3".to_owned(), 901)));
+}
+
+/// Guards against a group with confirming replicas whose primary is not replaced although all
+/// replicas answer.
+#[test]
+fn primary_with_confirming_replicas_is_replaced() {
+    let mut rig = confirming_rig();
+    kill_primary(&mut rig);
+    assert!(run_to_claim(&mut rig, 2_000, None));
+    grant_claim(&mut rig, 900);
+    advance_with_dead_primary(&mut rig, 400);
+    assert_eq!(promoted(&rig), Some(("m3".to_owned(), 900)));
+}
+
 /// Guards against a promotion by a VM that alone is cut off from a healthy primary.
 #[test]
 fn primary_that_another_vm_reaches_is_not_replaced() {
@@ -220,7 +287,9 @@
                         has_stepped_down = true;
                         rig.report_status(link, false, 20);
                     }
-                    MemberCommand::Status => rig.report_status(link, false, received),
+                    MemberCommand::Status | MemberCommand::Pause(_) => {
+                        rig.report_status(link, false, received);
+                    }
                     _ => rig.succeed(link, TransactionState::Idle, received),
                 }
             }
