--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -1,7 +1,8 @@
-//! How many connections of a member each VM may hold.
+//! This VM's part of what a member takes from all VMs together: connections, and statements while
+//! the member is cold.
 //!
-//! Members refuse connections beyond a number for all VMs together. Each VM works out its part
-//! from the roster alone, so that no message between VMs is needed before a connection is opened.
+//! Each VM works out its part from the roster alone, so that no message between VMs is needed
+//! before a connection is opened or a statement is sent.
 
 use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::GroupId;
@@ -43,7 +44,7 @@
         Some(cold_part(limit, vms, place).unwrap_or_default())
     }
 
-    /// Returns the same for the member of a connection.
+    /// Returns the limit of [`Pool::cold_limit`] for the member of a connection.
     pub(crate) fn cold_limit_over(&self, link: ConnectionId) -> Option<f64> {
         let link = self.links.get(&link)?;
         let group = self.groups.get(&link.group)?;
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -254,7 +254,8 @@
     }
 }
 
-/// Returns the members that can say what they have received.
+/// Returns the members that can say what they have received. Leaving ones confirm commits too, so
+/// they count although they cannot become the primary.
 fn voters(now: MonoTime, group: &Group) -> Vec<MemberId> {
     let can_answer = |id: &MemberId, member: &Member| {
         group.primary.as_ref() != Some(id) && member.down_since.is_none() && !member.is_gone(now)
--- a/crates/pool/src/failover/survey.rs
+++ b/crates/pool/src/failover/survey.rs
@@ -135,13 +135,11 @@
             return self.promote_newest(now, id, &candidates, actions);
         }
         if is_due {
-            report(
-                id,
-                "no replica is known to have all",
-                group.primary.clone(),
-                0,
-                actions,
-            );
+            let step = match answered {
+                0 => "no replica answers",
+                _ => "no replica is known to have all",
+            };
+            report(id, step, group.primary.clone(), 0, actions);
             return group.failover.pause(now, RETRY_PAUSE);
         }
         if now >= *repeat_at {
