Log the load of a VM every five seconds, and count peer messages

The logs could not tell a VM without processor time from one that waits for members: no line states processor time, late timers, connections opened or messages between VMs.

--- a/crates/net/src/boot_clock.rs
+++ b/crates/net/src/boot_clock.rs
@@ -30,8 +30,17 @@
     }
 }
 
+/// Returns the processor time that this process has used.
+pub fn process_time() -> Duration {
+    read_clock(ClockId::ProcessCPUTime)
+}
+
 fn time_since_boot() -> Duration {
-    let Timespec { tv_sec, tv_nsec } = clock_gettime(ClockId::Boottime);
+    read_clock(ClockId::Boottime)
+}
+
+fn read_clock(clock: ClockId) -> Duration {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(clock);
     let nanos = u32::try_from(tv_nsec).unwrap_or_default();
     Duration::new(u64::try_from(tv_sec).unwrap_or_default(), nanos)
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 mod socket;
 
 pub use boot_clock::BootClock;
+pub use boot_clock::process_time;
 pub use deadline_timer::DeadlineTimer;
 pub use listener::Listener;
 pub use socket::MAX_READS_PER_TURN;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -16,6 +16,7 @@
 use lycheedoor_pool::Pool;
 use lycheedoor_pool::PoolAction;
 use lycheedoor_pool::PoolEvent;
+use lycheedoor_pool::Report;
 use lycheedoor_telemetry::LogBuffer;
 use lycheedoor_telemetry::MetricsHandle;
 use lycheedoor_telemetry::emit;
@@ -27,6 +28,7 @@
 use stakker_mio::Ready;
 
 use crate::callers::CallerConnection;
+use crate::load::Load;
 use crate::members::MemberConnection;
 use crate::pages::PageConnection;
 use crate::peers::IncomingPeer;
@@ -65,6 +67,7 @@
     pub(crate) addresses: Addresses,
     pub(crate) metrics: MetricsHandle,
     log: LogBuffer,
+    pub(crate) load: Load,
     next_upkeep_at: MonoTime,
     pub(crate) settings: Box<dyn SettingsSource>,
     pub(crate) settings_modified_at: Option<SystemTime>,
@@ -99,6 +102,7 @@
             addresses: setup.addresses,
             metrics: setup.metrics,
             log: setup.log,
+            load: Load::default(),
             next_upkeep_at: MonoTime::ZERO,
             settings_modified_at: setup.settings.modified_at(),
             settings: setup.settings,
@@ -173,12 +177,18 @@
                 group,
                 workspace,
                 member,
-            } => self.open_member(cx, link, address, &group, &workspace, &member),
+            } => {
+                self.load.opened_connections += 1;
+                self.open_member(cx, link, address, &group, &workspace, &member);
+            }
             PoolAction::Send { link, command } => self.send_member(link, &command),
             PoolAction::CloseLink { link } => {
                 self.members.remove(&link.0);
             }
-            PoolAction::ReadObjects(call) => self.read_store(cx, call),
+            PoolAction::ReadObjects(call) => {
+                self.load.store_calls += 1;
+                self.read_store(cx, call);
+            }
             PoolAction::WriteRecord {
                 name,
                 record,
@@ -196,7 +206,11 @@
                 message,
             } => self.send_peer(cx, to, address, &message),
             PoolAction::SetReady(is_ready) => self.is_ready = is_ready,
-            PoolAction::Report(report) => write_report(&report),
+            PoolAction::Report(report) => {
+                let is_done = matches!(report, Report::StatementDone { .. });
+                self.load.statements += u64::from(is_done);
+                write_report(&report);
+            }
             PoolAction::Exit => {
                 self.log.flush();
                 cx.shutdown(StopCause::Stopped);
@@ -231,12 +245,16 @@
 
     fn deadline_reached(&mut self, cx: CX![]) {
         self.timer.clear(cx);
+        let now = self.now(cx.now());
+        let lag = now.since(self.pool.next_deadline());
+        self.load.record_timer_lag(lag);
         self.handle_event(cx, PoolEvent::DeadlineReached);
         self.write_log();
         let now = self.now(cx.now());
         if now >= self.next_upkeep_at {
             self.next_upkeep_at = now + UPKEEP_INTERVAL;
             self.metrics.run_upkeep();
+            self.load.write_log(now);
             self.reload_if_modified(cx);
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod codecs;
 mod driver;
+mod load;
 mod members;
 mod pages;
 mod peers;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -20,12 +20,16 @@
 use lycheedoor_pool::PoolMessage;
 use lycheedoor_telemetry::emit_limited_by_cause;
 use lycheedoor_telemetry::events;
+use lycheedoor_telemetry::metrics::PEER_BYTES;
+use lycheedoor_telemetry::metrics::PEER_MESSAGES;
+use metrics::counter;
 use stakker::CX;
 use stakker::fwd_to;
 use stakker_mio::Ready;
 use stakker_mio::mio::net::TcpStream;
 
 use crate::driver::Driver;
+use crate::load::Load;
 
 /// Largest amount of unsent output for a peer; above it messages are dropped, which every kind of
 /// message tolerates.
@@ -75,8 +79,9 @@
             && pending.to == to
             && pending.response.is_empty()
         {
-            if let Err(error) = encode_answer(&mut pending.response, &envelope) {
-                warn_peer_malformed(&error);
+            match encode_answer(&mut pending.response, &envelope) {
+                Ok(()) => count_sent(&mut self.load, pending.response.len()),
+                Err(error) => warn_peer_malformed(&error),
             }
             return;
         }
@@ -121,6 +126,7 @@
         if peer.socket.pending_output.len() > MAX_PENDING_OUTPUT_BYTES {
             return warn_peer_unreachable(&to, "too much unsent output");
         }
+        count_sent(&mut self.load, bytes.len());
         peer.socket.pending_output.extend_from_slice(&bytes);
         if peer.is_connected && peer.socket.flush().is_err() {
             self.outgoing_peers.remove(&to);
@@ -236,6 +242,7 @@
 
     fn message_received(&mut self, cx: CX![], envelope: Envelope<PoolMessage>) {
         self.hybrid_clock.merge(Self::wall_time(), envelope.clock);
+        counter!(PEER_MESSAGES.name, "direction" => "received").increment(1);
         let event = PoolEvent::PeerSent {
             from: envelope.from,
             incarnation: envelope.incarnation,
@@ -285,6 +292,14 @@
     }
 }
 
+fn count_sent(load: &mut Load, bytes: usize) {
+    let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+    load.peer_messages += 1;
+    load.peer_bytes += bytes;
+    counter!(PEER_MESSAGES.name, "direction" => "sent").increment(1);
+    counter!(PEER_BYTES.name, "direction" => "sent").increment(bytes);
+}
+
 fn warn_peer_malformed(error: &PeerError) {
     let cause = error.to_string();
     emit_limited_by_cause(&events::PEER_MALFORMED, &cause, &[cause.as_str().into()]);
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -74,4 +74,5 @@
     &STOP_FINISHED,
     &STATEMENT_LATE,
     &VM_REMOVED,
+    &VM_LOAD,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -197,3 +197,22 @@
     "another VM is considered dead; its record is removed",
     &["vm", "silence_ms"],
 );
+
+/// LD-I-1118: load of this process since the previous line.
+pub const VM_LOAD: EventKind = event(
+    "LD-I-1118",
+    "vm_load",
+    Level::Info,
+    POOL,
+    "load of this process since the previous line",
+    &[
+        "span_ms",
+        "cpu_ms",
+        "timer_lag_ms",
+        "statements",
+        "connections_opened",
+        "peer_messages",
+        "peer_bytes",
+        "store_calls",
+    ],
+);
