Reproduce the incident of the grown sites on the decisions alone

Whole pools in virtual time, 13 operations a second at each VM, at 62% of the rate of each workspace.

--- /dev/null
+++ b/crates/pool/tests/fleet_growth.rs
@@ -0,0 +1,77 @@
+//! What one VM costs its peers and the members, in fleets of several sizes with the same load on
+//! each VM.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::Fleet;
+use fleet::FleetCounts;
+use fleet::FleetSize;
+
+/// Numbers of VMs, from the smallest deployment to one beyond today's largest.
+const FLEET_SIZES: [u32; 4] = [8, 30, 100, 300];
+
+const DURATION: Duration = Duration::from_secs(2);
+
+/// What a VM may send for control, as stated for the design size.
+const MAX_CONTROL_BYTES_PER_VM_PER_S: u64 = 4_000;
+
+/// What a member of today's largest deployment accepts.
+const MAX_CONNECTIONS: u32 = 79;
+
+fn play(vms: u32) -> FleetCounts {
+    let mut fleet = Fleet::start(FleetSize {
+        vms,
+        groups: (vms / 11).max(3),
+        workspaces: vms.min(87),
+        operations_per_vm: 13,
+        max_connections: MAX_CONNECTIONS,
+    });
+    fleet.play(DURATION);
+    println!("{vms} VMs: {:?}", fleet.counts);
+    fleet.counts
+}
+
+/// Guards against loan requests to all peers, whose number grows with the square of the fleet.
+#[test]
+#[ignore = "KNOWN-RED: each VM asks all others for loans"]
+fn loans_of_a_large_fleet_do_not_use_up_the_control_budget() {
+    for vms in FLEET_SIZES {
+        let counts = play(vms);
+        let seconds = fleet::PLAYED_AFTER.as_secs() + DURATION.as_secs();
+        let bytes = counts.rate_message_bytes / u64::from(vms) / seconds;
+        assert!(
+            bytes <= MAX_CONTROL_BYTES_PER_VM_PER_S,
+            "{vms} VMs: {bytes} bytes a VM and second"
+        );
+    }
+}
+
+/// Guards against shares of at least one connection that add up to more than a member accepts.
+#[test]
+#[ignore = "KNOWN-RED: shares below one connection are rounded up"]
+fn connections_of_a_large_fleet_stay_within_what_a_member_accepts() {
+    for vms in FLEET_SIZES {
+        let counts = play(vms);
+        assert!(
+            counts.peak_connections <= MAX_CONNECTIONS,
+            "{vms} VMs: {} connections",
+            counts.peak_connections
+        );
+    }
+}
+
+/// Guards against operations within the rate of their workspace that a large fleet does not serve.
+#[test]
+#[ignore = "KNOWN-RED: the rate is split into shares that are too small"]
+fn operations_within_the_rate_are_served_by_a_large_fleet() {
+    for vms in FLEET_SIZES {
+        let counts = play(vms);
+        let refused: u64 = counts.refused.values().sum();
+        assert!(
+            refused * 1_000 <= counts.sent && counts.served + refused == counts.sent,
+            "{vms} VMs: {counts:?}"
+        );
+    }
+}
