Rates: ask only holders of a share, and handle only the workspaces of a message

Each renewal went through workspaces x peers and counted the lenders again for each pair, and each message of a peer advanced all limiters. Now a limiter knows which peers hold a share, renewals visit only workspaces with arrivals or loans, and a message is applied to the workspaces that it names. A workspace without tokens is also asked for in parts of the holders, no longer of all peers.

--- a/crates/core/src/rates/borrow.rs
+++ b/crates/core/src/rates/borrow.rs
@@ -8,13 +8,14 @@
 use crate::rates::Rates;
 use crate::rates::RatesAction;
 use crate::rates::last_seq;
-use crate::rates::limiter::Limiter;
+use crate::rates::loan::Lender;
 use crate::rates::message::Grant;
 use crate::rates::message::LoanRequest;
 use crate::rates::message::RatesMessage;
+use crate::rates::process_waiting;
+use crate::rates::split::Share;
 use crate::types::Incarnation;
 use crate::types::MonoTime;
-use crate::types::RosterPeer;
 use crate::types::VmId;
 use crate::types::WorkspaceId;
 
@@ -31,7 +32,11 @@
         if !self.may_borrow() {
             return;
         }
-        let workspaces: Vec<WorkspaceId> = self.limiters.keys().cloned().collect();
+        let active = self.limiters.iter_mut().filter_map(|(id, limiter)| {
+            let may_need_loans = limiter.may_need_loans() || !limiter.waiting.is_empty();
+            may_need_loans.then(|| id.clone())
+        });
+        let workspaces: Vec<WorkspaceId> = active.collect();
         let renewal = now >= self.next_renewal;
         let check_idle = now >= self.next_idle_check;
         for workspace in &workspaces {
@@ -58,16 +63,23 @@
 
     /// Queues a request to each peer that lends to this VM or from which it needs refill rate.
     fn renew_loans(&mut self, now: MonoTime, workspace: &WorkspaceId) {
-        let peers: Vec<VmId> = self.peers.keys().cloned().collect();
+        let Some(limiter) = self.limiters.get(workspace) else {
+            return;
+        };
+        let holders = limiter.share_holders.keys();
+        let former = limiter
+            .lenders
+            .keys()
+            .filter(|peer| !limiter.share_holders.contains_key(*peer));
+        let known = holders
+            .chain(former)
+            .filter(|vm| self.peers.contains_key(*vm));
+        let peers: Vec<VmId> = known.cloned().collect();
         for peer in &peers {
             let want = self.refill_rate_to_request(now, workspace, peer);
             let limiter = self.limiters.get(workspace);
             let lender = limiter.and_then(|limiter| limiter.lenders.get(peer));
-            let held = lender.is_some_and(|lender| {
-                lender.worth_renewing()
-                    || lender.must_report_release
-                    || lender.has_unreported_spending
-            });
+            let held = lender.is_some_and(Lender::needs_report);
             if held || want > 0 {
                 self.queue_loan_request(now, workspace, peer, want, 0);
                 self.return_surplus(now, workspace, peer);
@@ -90,12 +102,9 @@
             return 0;
         };
         let need = limiter.refill_rate_to_borrow(now);
-        let share = |limiter: &Limiter, slots: &[u16]| limiter.split.sum(slots.iter().copied());
-        let lender_count = self.peers.values();
-        let lender_count = lender_count.filter(|p| share(limiter, &p.slots).refill_rate > 0);
-        let lender_count = lender_count.count().max(1) as u64;
-        let limit = self.peers.get(peer);
-        let limit = limit.map_or(0, |peer| share(limiter, &peer.slots).refill_rate);
+        let lender_count = limiter.share_holders.len().max(1) as u64;
+        let limit = limiter.share_holders.get(peer);
+        let limit = limit.map_or(0, |share| share.refill_rate);
         let held = limiter.lenders.get(peer).and_then(|lender| lender.loan);
         let held = held.map_or(0, |loan| loan.refill_rate);
         let borrowed = limiter.borrowed_refill_rate();
@@ -122,17 +131,16 @@
             return;
         }
         limiter.schedule_next_fetch(now);
-        let all_empty = self
-            .lenders_by_spare(now, workspace)
-            .iter()
-            .all(|candidate| candidate.0 == 0);
-        for (spare, peer) in self.lenders_by_spare(now, workspace) {
+        let lenders = self.lenders_by_spare(now, workspace);
+        let lender_count = lenders.len().max(1) as u64;
+        let all_empty = lenders.iter().all(|candidate| candidate.0 == 0);
+        for (spare, peer) in lenders {
             if missing == 0 {
                 break;
             }
             // If no peer is known to have tokens, each is asked for an equal part.
             let part = if all_empty {
-                missing.div_ceil(self.peers.len().max(1) as u64)
+                missing.div_ceil(lender_count)
             } else {
                 spare.min(missing)
             };
@@ -151,19 +159,15 @@
             return Vec::new();
         };
         let mut candidates = Vec::new();
-        for peer in self.peers.values() {
-            let share = limiter.split.sum(peer.slots.iter().copied());
-            if share.capacity == 0 {
-                continue;
-            }
+        for (peer, share) in &limiter.share_holders {
             let assumed_spare = share.capacity / 2 / NANOTOKENS_PER_MILLITOKEN;
-            let lender = limiter.lenders.get(&peer.vm);
+            let lender = limiter.lenders.get(peer);
             let silent = lender.and_then(|lender| lender.unanswered_since);
             let silent = silent.is_some_and(|at| now.since(at).as_millis() > ANSWER_TIMEOUT_MS);
             let spare = lender
                 .and_then(|lender| lender.spare)
                 .unwrap_or(assumed_spare);
-            candidates.push((if silent { 0 } else { spare }, peer.vm.clone()));
+            candidates.push((if silent { 0 } else { spare }, peer.clone()));
         }
         candidates.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         candidates
@@ -231,9 +235,11 @@
     /// `return_loans` distributes by these figures.
     pub(crate) fn query_spare_tokens(&mut self, now: MonoTime) {
         let workspaces: Vec<WorkspaceId> = self.limiters.keys().cloned().collect();
-        let peers: Vec<VmId> = self.peers.keys().cloned().collect();
         for workspace in &workspaces {
-            for peer in &peers {
+            let limiter = self.limiters.get(workspace);
+            let holders = limiter.map(|limiter| limiter.share_holders.keys().cloned().collect());
+            let holders: Vec<VmId> = holders.unwrap_or_default();
+            for peer in &holders {
                 let limiter = self.limiters.get(workspace);
                 let loan = limiter.and_then(|limiter| limiter.lenders.get(peer)?.loan);
                 self.queue_loan_request(
@@ -271,16 +277,14 @@
         let Some(limiter) = self.limiters.get(workspace) else {
             return Vec::new();
         };
-        let free_capacity = |peer: &RosterPeer| {
-            let capacity = limiter.split.sum(peer.slots.iter().copied()).capacity;
-            let spare = limiter
-                .lenders
-                .get(&peer.vm)
-                .and_then(|lender| lender.spare);
+        let free_capacity = |(peer, share): (&VmId, &Share)| {
+            let lender = limiter.lenders.get(peer);
+            let spare = lender.and_then(|lender| lender.spare);
             let spare = spare.map_or(0, |spare| spare * NANOTOKENS_PER_MILLITOKEN);
-            (capacity.saturating_sub(spare), peer.vm.clone())
+            (share.capacity.saturating_sub(spare), peer.clone())
         };
-        let mut free_capacity_by_peer: Vec<_> = self.peers.values().map(free_capacity).collect();
+        let holders = limiter.share_holders.iter();
+        let mut free_capacity_by_peer: Vec<_> = holders.map(free_capacity).collect();
         free_capacity_by_peer.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         free_capacity_by_peer
     }
@@ -336,6 +340,8 @@
         }
         match message {
             RatesMessage::Ask { seq, asks } => {
+                let workspaces = asks.iter().map(|request| &request.workspace);
+                self.advance_workspaces(now, workspaces);
                 let grants: Vec<Grant> = asks
                     .iter()
                     .filter_map(|request| self.answer(now, &from, incarnation, seq, request))
@@ -349,6 +355,8 @@
                     };
                     actions.push(RatesAction::Send { to: from, message });
                 }
+                let workspaces = asks.iter().map(|request| &request.workspace);
+                self.continue_workspaces(now, workspaces, actions);
             }
             // The lender may have lost the slot that it lends from in a roster it does not know
             // yet.
@@ -358,9 +366,42 @@
                     .get(&from)
                     .is_none_or(|since| roster_version < *since) => {}
             RatesMessage::Answer { seq, grants, .. } => {
+                let workspaces = grants.iter().map(|grant| &grant.workspace);
+                self.advance_workspaces(now, workspaces.clone());
                 for grant in &grants {
                     self.accept(now, &from, seq, grant);
                 }
+                self.continue_workspaces(now, workspaces, actions);
+            }
+        }
+    }
+
+    fn advance_workspaces<'a>(
+        &mut self,
+        now: MonoTime,
+        workspaces: impl Iterator<Item = &'a WorkspaceId>,
+    ) {
+        for workspace in workspaces {
+            if let Some(limiter) = self.limiters.get_mut(workspace) {
+                limiter.advance(now, |peer| last_seq(&self.send_logs, peer));
+            }
+        }
+    }
+
+    /// Admits waiting requests of workspaces whose tokens have changed, and requests more tokens if
+    /// they do not suffice.
+    fn continue_workspaces<'a>(
+        &mut self,
+        now: MonoTime,
+        workspaces: impl Iterator<Item = &'a WorkspaceId>,
+        actions: &mut Vec<RatesAction>,
+    ) {
+        for workspace in workspaces {
+            if let Some(limiter) = self.limiters.get_mut(workspace) {
+                process_waiting(now, limiter, actions);
+            }
+            if self.may_borrow() {
+                self.fetch_tokens(now, workspace);
             }
         }
     }
--- a/crates/core/src/rates/demand.rs
+++ b/crates/core/src/rates/demand.rs
@@ -27,6 +27,11 @@
         self.current_count += 1;
     }
 
+    /// Returns whether any of the kept arrivals is counted, as of the latest update.
+    pub(crate) fn has_recent_arrivals(&self) -> bool {
+        self.current_count > 0 || self.counts.iter().any(|count| *count > 0)
+    }
+
     /// Returns the rate of arrivals in millitokens a second, at one token an arrival.
     pub(crate) fn millitokens_per_second(&mut self, now: MonoTime) -> u64 {
         self.advance(now);
--- a/crates/core/src/rates/limiter.rs
+++ b/crates/core/src/rates/limiter.rs
@@ -54,6 +54,8 @@
     pub(crate) split: Split,
     pub(crate) bucket: Bucket,
     pub(crate) lenders: BTreeMap<VmId, Lender>,
+    /// The peers that hold a share of the workspace's rate.
+    pub(crate) share_holders: BTreeMap<VmId, Share>,
     pub(crate) demand: Demand,
     pub(crate) waiting: VecDeque<WaitingRequest>,
     /// A time not later than the earliest `until` in `waiting`.
@@ -74,6 +76,12 @@
         }
     }
 
+    /// Returns whether loans may have to be renewed or requested: there are some, or requests have
+    /// arrived recently.
+    pub(crate) fn may_need_loans(&self) -> bool {
+        self.demand.has_recent_arrivals() || self.lenders.values().any(Lender::needs_report)
+    }
+
     /// Returns the available nanotokens, own and borrowed.
     pub(crate) fn available(&self) -> u64 {
         let loans = self.lenders.values().filter_map(|lender| lender.loan);
--- a/crates/core/src/rates/loan.rs
+++ b/crates/core/src/rates/loan.rs
@@ -104,8 +104,13 @@
         }
     }
 
+    /// Returns whether the lender has to be told of changes, or the loan is worth renewing.
+    pub(crate) fn needs_report(&self) -> bool {
+        self.worth_renewing() || self.must_report_release || self.has_unreported_spending
+    }
+
     /// Returns whether the loan is worth renewing; less than a millitoken is not.
-    pub(crate) fn worth_renewing(&self) -> bool {
+    fn worth_renewing(&self) -> bool {
         self.loan.is_some_and(|loan| {
             loan.refill_rate + loan.capacity > 0 || loan.tokens >= NANOTOKENS_PER_MILLITOKEN
         })
--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -45,6 +45,7 @@
 pub use message::Grant;
 pub use message::LoanRequest;
 pub use message::RatesMessage;
+pub use split::RateDistribution;
 
 use crate::config::Config;
 use crate::rates::limiter::Limiter;
@@ -90,6 +91,7 @@
 #[derive(Clone, Debug)]
 pub struct Rates {
     lending_mode: LendingMode,
+    distribution: RateDistribution,
     max_wait: Duration,
     /// The slots that the roster assigns to this VM, and when each becomes usable.
     held_slots: Vec<(u16, MonoTime)>,
@@ -124,6 +126,7 @@
     pub fn new(lending_mode: LendingMode) -> Self {
         Self {
             lending_mode,
+            distribution: RateDistribution::default(),
             max_wait: MAX_TOKEN_WAIT,
             held_slots: Vec::new(),
             usable_slots: BTreeSet::new(),
@@ -149,6 +152,19 @@
         self.max_wait = max_wait;
     }
 
+    /// Sets how rates are distributed over the slots; the default is [`RateDistribution::Spread`].
+    /// All VMs must use the same distribution.
+    pub fn set_distribution(&mut self, distribution: RateDistribution) {
+        self.distribution = distribution;
+    }
+
+    /// Returns the slots that hold a share of a workspace's rate, by rank. The order is the same on
+    /// all VMs with the same configuration and roster.
+    pub fn share_slots(&self, workspace: &WorkspaceId) -> &[u16] {
+        let limiter = self.limiters.get(workspace);
+        limiter.map_or(&[], |limiter| limiter.split.holders())
+    }
+
     /// Handles an event and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: MonoTime, event: RatesEvent, actions: &mut Vec<RatesAction>) {
         self.check_lease(now, actions);
@@ -163,6 +179,17 @@
             self.admit(now, &workspace, request, deadline, actions);
             return self.flush(now, actions);
         }
+        // Messages of peers are frequent in a large fleet, and each concerns few workspaces.
+        if let RatesEvent::Received {
+            from,
+            incarnation,
+            message,
+        } = event
+        {
+            self.receive(now, from, incarnation, message, actions);
+            self.flush(now, actions);
+            return self.report_drained(actions);
+        }
         self.advance(now);
         match event {
             RatesEvent::Roster(view) => self.apply_roster(now, view, actions),
@@ -170,17 +197,14 @@
             RatesEvent::LeaseLost => self.lose_lease(actions),
             RatesEvent::Configured(config) => self.apply_config(now, config, actions),
             RatesEvent::Cancelled { request } => self.cancel(request),
-            RatesEvent::Received {
-                from,
-                incarnation,
-                message,
-            } => self.receive(now, from, incarnation, message, actions),
             RatesEvent::StopRequested => {
                 self.stopping = true;
                 self.query_spare_tokens(now);
             }
             RatesEvent::StopFinished => self.leave(now),
-            RatesEvent::DeadlineReached | RatesEvent::Admit { .. } => {}
+            RatesEvent::DeadlineReached
+            | RatesEvent::Admit { .. }
+            | RatesEvent::Received { .. } => {}
         }
         self.process_all_waiting(now, actions);
         self.queue_due_loan_requests(now);
@@ -199,7 +223,9 @@
                 .map(|s| s.1),
         );
         if self.may_borrow() {
-            deadlines.push(self.next_renewal);
+            if self.limiters.values().any(Limiter::may_need_loans) {
+                deadlines.push(self.next_renewal);
+            }
             if self
                 .limiters
                 .values()
@@ -271,7 +297,7 @@
         });
         for (id, workspace) in &self.config.workspaces {
             let limiter = self.limiters.entry(id.clone()).or_default();
-            limiter.split = Split::new(id, workspace, self.slot_count);
+            limiter.split = Split::new(id, workspace, self.slot_count, self.distribution);
             let wait_ms = MAX_TOKEN_WAIT.as_millis() as usize;
             let accrued_in_wait = workspace.rate_per_s as usize * wait_ms / 1_000;
             limiter.max_waiting =
@@ -282,6 +308,7 @@
                 limiter.split = Split::default();
             }
         }
+        self.update_share_holders();
         self.set_usable_slots(now, self.usable_slots.clone(), false);
     }
 
--- a/crates/core/src/rates/slots.rs
+++ b/crates/core/src/rates/slots.rs
@@ -6,6 +6,7 @@
 use crate::rates::Rates;
 use crate::rates::RatesAction;
 use crate::rates::last_seq;
+use crate::rates::split::Share;
 use crate::rates::split::Split;
 use crate::types::MonoTime;
 use crate::types::RosterPeer;
@@ -64,16 +65,38 @@
         if slot_count_changed {
             for (id, limiter) in &mut self.limiters {
                 if let Some(workspace) = self.config.workspaces.get(id) {
-                    limiter.split = Split::new(id, workspace, self.slot_count);
+                    limiter.split = Split::new(id, workspace, self.slot_count, self.distribution);
                 }
             }
         }
+        self.update_share_holders();
         let due = self.held_slots.iter().filter(|slot| slot.1 <= now);
         let usable = due.map(|slot| slot.0).collect();
         self.set_usable_slots(now, usable, slot_count_changed);
         self.check_lease(now, actions);
     }
 
+    /// Determines which peers hold a share of each workspace.
+    pub(crate) fn update_share_holders(&mut self) {
+        let mut holder_of_slot = BTreeMap::new();
+        for peer in self.peers.values() {
+            holder_of_slot.extend(peer.slots.iter().map(|slot| (*slot, &peer.vm)));
+        }
+        for limiter in self.limiters.values_mut() {
+            let mut holders: BTreeMap<VmId, Share> = BTreeMap::new();
+            for slot in limiter.split.holders() {
+                let Some(vm) = holder_of_slot.get(slot) else {
+                    continue;
+                };
+                let share = limiter.split.sum(std::iter::once(*slot));
+                let sum = holders.entry((*vm).clone()).or_default();
+                sum.refill_rate += share.refill_rate;
+                sum.capacity += share.capacity;
+            }
+            limiter.share_holders = holders;
+        }
+    }
+
     /// Drops loans from peers that have left the roster or lost a slot: the slot's next holder uses
     /// its whole share.
     fn drop_invalid_loans(
