Forward statements to the home of their workspace

Cause: each VM served each workspace. A share of each rate lay on every VM, so every VM asked all others for loans, every 150 ms: 466,636 messages for 2,600 operations of 100 VMs. And a connection to a member belongs to one workspace, so nearly each statement opened one (2,505 for 2,600), and shares below one connection, rounded up, exceeded what a member accepts (99 of 79). Both grow with the square of the fleet.

Change: a workspace has a home in each group, one of the few VMs that hold a share of its rate; their number follows from the rate, not from the size of the fleet. The VM of the caller keeps the session and forwards each statement, with the session's values and its last commit; the home holds the connections, and its share of them follows the rates of its workspaces. If the home does not accept a statement, or cannot be reached, another home or the VM of the caller runs it; a write that may have run is never repeated. The VM with the highest rate in a group replaces its primary first.

The shares are tested for the same bounds as before.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -31,9 +31,8 @@
 use crate::driver::Driver;
 use crate::load::Load;
 
-/// Largest amount of unsent output for a peer; above it messages are dropped, which every kind of
-/// message tolerates.
-const MAX_PENDING_OUTPUT_BYTES: usize = 64 * 1024;
+/// Largest amount of unsent output for a peer; above it the connection is closed.
+const MAX_PENDING_OUTPUT_BYTES: usize = 1024 * 1024;
 
 /// Time for a peer to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -95,7 +94,7 @@
             peer.address != address || is_overdue
         });
         if is_stale {
-            self.outgoing_peers.remove(&to);
+            self.peer_lost(cx, &to, "connection timed out or address changed");
         }
         if !self.outgoing_peers.contains_key(&to) {
             let number = self.new_socket_number();
@@ -108,7 +107,7 @@
             });
             let socket = match socket {
                 Ok(socket) => socket,
-                Err(error) => return warn_peer_unreachable(&to, &error.to_string()),
+                Err(error) => return self.peer_lost(cx, &to, &error.to_string()),
             };
             let peer = OutgoingPeer {
                 number,
@@ -124,16 +123,22 @@
             return;
         };
         if peer.socket.pending_output.len() > MAX_PENDING_OUTPUT_BYTES {
-            return warn_peer_unreachable(&to, "too much unsent output");
+            return self.peer_lost(cx, &to, "too much unsent output");
         }
         count_sent(&mut self.load, bytes.len());
         peer.socket.pending_output.extend_from_slice(&bytes);
         if peer.is_connected && peer.socket.flush().is_err() {
-            self.outgoing_peers.remove(&to);
-            warn_peer_unreachable(&to, "connection lost");
+            self.peer_lost(cx, &to, "connection lost");
         }
     }
 
+    /// Closes the connection to another VM. The pool is told, since messages may be lost.
+    fn peer_lost(&mut self, cx: CX![], vm: &VmId, cause: &str) {
+        self.outgoing_peers.remove(vm);
+        warn_peer_unreachable(vm, cause);
+        self.handle_event(cx, PoolEvent::PeerLost { vm: vm.clone() });
+    }
+
     fn outgoing_peer_ready(&mut self, cx: CX![], number: u64, ready: Ready) {
         let mut peers = self.outgoing_peers.iter_mut();
         let Some((vm, peer)) = peers.find(|(_, peer)| peer.number == number) else {
@@ -142,8 +147,7 @@
         let mut received = Vec::new();
         if let Err(cause) = peer.progress(&ready, &mut received) {
             let vm = vm.clone();
-            self.outgoing_peers.remove(&vm);
-            warn_peer_unreachable(&vm, &cause);
+            self.peer_lost(cx, &vm, &cause);
         }
         for envelope in received {
             self.message_received(cx, envelope);
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -64,7 +64,8 @@
             return self.continue_admitted(now, caller, actions);
         }
         let max_wait = current.route.target_latency * MAX_TOKEN_WAIT_PERCENT / 100;
-        let deadline = current.started_at + max_wait.max(MAX_TOKEN_WAIT);
+        // A statement that comes back from another VM may have used up its wait, but not its timeout.
+        let deadline = (current.started_at + max_wait).max(now + MAX_TOKEN_WAIT);
         if self.is_isolated(now) {
             let cause = "neither the store nor another VM is in reach";
             return self.fail_current(now, caller, CallerError::Busy, cause, actions);
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -1,8 +1,8 @@
 //! This VM's share of what a member accepts from all VMs together: connections, and statements
 //! while the member is still slow after its start ("cold").
 //!
-//! Each VM computes its share from the roster alone, so that no messages between VMs are needed
-//! before a connection is opened or a statement is sent.
+//! Each VM computes its share from the configuration and the roster, so that no messages between
+//! VMs are needed before a connection is opened or a statement is sent.
 
 use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::GroupId;
@@ -13,27 +13,10 @@
 use crate::member::MemberEntry;
 use crate::pool::Pool;
 
-/// Returns a VM's share of the connections that a member accepts from `vms` VMs.
-///
-/// As many connections as one VM's share are kept in reserve: after a VM loses power, its
-/// connections stay open at the member for seconds, and its successor has to connect at once. The
-/// remainder of the division goes to the VMs with the lowest `rank` modulo `vms`. The share is at
-/// least one.
-pub fn connection_share(limit: u32, vms: u32, rank: u32) -> u32 {
-    let vms = vms.max(1);
-    let reserved = limit.div_ceil(vms.saturating_add(1));
-    let used = limit.saturating_sub(reserved);
-    let gets_remainder = rank % vms < used % vms;
-    (used / vms + u32::from(gets_remainder)).max(1)
-}
-
 impl Pool {
     /// Returns this VM's share of the connections that a member of a group accepts.
-    pub(crate) fn link_budget(&self, group: &GroupId, member: &MemberId) -> u32 {
-        let rule = self.config.groups.get(group);
-        let limit = rule.map_or(1, |rule| rule.max_connections);
-        let (vms, rank) = self.vm_count_and_rank(member);
-        connection_share(limit, vms, rank)
+    pub(crate) fn link_budget(&self, group: &GroupId) -> u32 {
+        self.group_homes(group).connection_share(&self.settings.vm)
     }
 
     /// Returns how many statements a second this VM may send to a cold member; `None` without a
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -142,10 +142,10 @@
             });
         let usable = usable.fold(
             (0, 0, Duration::ZERO),
-            |(count, capacity, sum), (name, member)| {
+            |(count, capacity, sum), (_, member)| {
                 (
                     count + 1,
-                    capacity + member.limit(self.link_budget(id, name)),
+                    capacity + member.limit(self.link_budget(id)),
                     sum + member.average_answer_time(),
                 )
             },
@@ -180,6 +180,7 @@
         id: &GroupId,
         actions: &mut Vec<PoolAction>,
     ) {
+        self.update_group_homes(id);
         for pass in DispatchPass::ALL {
             let Some(group) = self.groups.get(id) else {
                 return;
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -137,6 +137,11 @@
         /// The decoded message.
         message: PoolMessage,
     },
+    /// The connection to another VM is lost; messages to it may not have arrived.
+    PeerLost {
+        /// The VM that cannot be reached.
+        vm: VmId,
+    },
     /// The process has been asked to shut down gracefully.
     StopRequested,
     /// The time returned by [`Pool::next_deadline`](crate::Pool::next_deadline) has come.
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -21,7 +21,6 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::VmId;
-use lycheedoor_core::types::rendezvous_weight;
 
 use crate::event::PoolAction;
 use crate::group::Group;
@@ -29,6 +28,7 @@
 use crate::message::PoolMessage;
 use crate::pool::Pool;
 use crate::report::Report;
+use crate::session::Stage;
 
 /// How long a primary has to be unreachable before it is replaced. This leaves time for a second
 /// connection attempt, so that a single reset connection does not cause a failover.
@@ -184,7 +184,9 @@
                 .sessions
                 .get(caller)
                 .and_then(|session| session.current.as_ref());
-            current.is_some_and(|current| current.route.group == *id)
+            current.is_some_and(|current| {
+                current.route.group == *id && current.stage != Stage::Forwarded
+            })
         });
         if is_read {
             self.sample_primary(now, id, actions);
@@ -216,12 +218,10 @@
         }
     }
 
-    /// Returns how many VMs rank before this one for replacing the group's primary.
+    /// Returns how many VMs rank before this one for replacing the group's primary. VMs that send
+    /// the group more statements rank first, because they notice first that its primary has failed.
     fn own_rank(&self, group: &GroupId) -> u32 {
-        let weight =
-            |vm: &VmId| rendezvous_weight(&[group.as_str().as_bytes(), vm.as_str().as_bytes()]);
-        let own = weight(&self.settings.vm);
-        let before = self.roster.names().filter(|vm| weight(vm) > own).count();
+        let before = self.group_homes(group).rank_of(&self.settings.vm);
         u32::try_from(before).unwrap_or(u32::MAX)
     }
 
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -65,7 +65,7 @@
             // The member is up but accepts no further connection for now.
             MemberFault::TooManyConnections | MemberFault::Busy => {
                 self.record_answer(now, id, None, actions);
-                let budget = self.link_budget(&group, &member);
+                let budget = self.link_budget(&group);
                 let is_overloaded = error.fault == MemberFault::Busy;
                 if let Some(member) = self.member_of(id) {
                     member.refused_connection(now);
@@ -159,13 +159,11 @@
                 member.busy = member.busy.saturating_sub(1);
             }
         }
-        let endpoint = self.links.get(&id);
-        let endpoint = endpoint.map(|link| (link.group.clone(), link.member.clone()));
-        let Some((group, member)) = endpoint else {
+        let Some(group) = self.links.get(&id).map(|link| link.group.clone()) else {
             return;
         };
         self.dispatch_group(now, &group, actions);
-        let budget = self.link_budget(&group, &member);
+        let budget = self.link_budget(&group);
         let is_borrowed = self
             .member_of(id)
             .is_some_and(|member| member.links > budget);
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -1,11 +1,15 @@
 //! The messages that the pools of two VMs exchange.
 
 use lycheedoor_core::rates::RatesMessage;
+use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MemberId;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::forward::ForwardedReply;
+use crate::forward::ForwardedRequest;
+
 /// A message from the pool of one VM to that of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PoolMessage {
@@ -41,4 +45,13 @@
         /// The fencing token of the promotion.
         token: u64,
     },
+    /// Asks the receiver to run a statement of a session at the sender.
+    Forward(Box<ForwardedRequest>),
+    /// The reply to `Forward`.
+    ForwardReply(Box<ForwardedReply>),
+    /// Ends what the receiver runs for a session at the sender.
+    EndForwarded {
+        /// The session at the sender.
+        session: CallerId,
+    },
 }
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -181,7 +181,7 @@
             return None;
         }
         let group = &member.entry.group;
-        let budget = self.link_budget(group, id);
+        let budget = self.link_budget(group);
         let replaces = match eviction_candidate(now, member, free) {
             Some(link) if member.links >= budget => Some(link.id),
             None if member.links >= budget + self.extra_link_allowance(now, group, id, member) => {
@@ -211,7 +211,7 @@
         let idle = self.links.values().filter(is_idle).count();
         u32::try_from(idle)
             .unwrap_or(u32::MAX)
-            .min(self.link_budget(group, id))
+            .min(self.link_budget(group))
     }
 
     fn cost(
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lycheedoor_core::rates::MAX_TOKEN_WAIT;
+use lycheedoor_core::rates::RateDistribution;
 use lycheedoor_core::rates::Rates;
 use lycheedoor_core::rates::RatesEvent;
 use lycheedoor_core::types::CallerId;
@@ -22,7 +23,11 @@
 use crate::event::PoolAction;
 use crate::event::PoolEvent;
 use crate::failover::Failover;
+use crate::forward::RemoteCaller;
 use crate::group::Group;
+use crate::home::GroupHomes;
+use crate::home::PeerHealth;
+use crate::home::RATE_PER_HOME_PER_S;
 use crate::link::Link;
 use crate::message::PoolMessage;
 use crate::roster::Roster;
@@ -76,6 +81,14 @@
     /// Callers with a statement in progress or an open transaction.
     pub(crate) active: BTreeSet<CallerId>,
     pub(crate) links: BTreeMap<ConnectionId, Link>,
+    /// The sessions at other VMs for which this one runs a statement or a transaction.
+    pub(crate) remote_callers: BTreeMap<CallerId, RemoteCaller>,
+    /// The numbers of these sessions here, by the VM and their number there.
+    pub(crate) remote_sessions: BTreeMap<(VmId, CallerId), CallerId>,
+    pub(crate) last_remote_caller: u64,
+    pub(crate) peer_health: BTreeMap<VmId, PeerHealth>,
+    /// Computed on demand; cleared when the configuration or the roster changes.
+    pub(crate) homes_by_group: BTreeMap<GroupId, GroupHomes>,
     last_link_number: u64,
     last_request_number: u64,
     /// Callers whose statement waits for a token of the rate limiter.
@@ -101,6 +114,10 @@
     /// Creates a pool that has no configuration and knows no members yet.
     pub fn new(settings: PoolSettings) -> Self {
         let watcher = |kind| (kind, StoreWatcher::new(kind));
+        let mut rates = Rates::default();
+        rates.set_distribution(RateDistribution::Concentrated {
+            rate_per_slot: RATE_PER_HOME_PER_S,
+        });
         Self {
             settings,
             config: Rc::default(),
@@ -110,10 +127,15 @@
             sessions: BTreeMap::new(),
             active: BTreeSet::new(),
             links: BTreeMap::new(),
+            remote_callers: BTreeMap::new(),
+            remote_sessions: BTreeMap::new(),
+            last_remote_caller: 0,
+            peer_health: BTreeMap::new(),
+            homes_by_group: BTreeMap::new(),
             last_link_number: 0,
             last_request_number: 0,
             awaiting_admission: BTreeMap::new(),
-            rates: Rates::default(),
+            rates,
             roster: Roster::default(),
             record_revisions: BTreeMap::new(),
             registration_due: None,
@@ -135,6 +157,7 @@
             self.reset_timeouts_after_suspension(now);
         }
         self.last_event_at = now;
+        let first_action = actions.len();
         match event {
             PoolEvent::CallerConnected { caller } => self.caller_connected(caller),
             PoolEvent::CallerSent { caller, request } => {
@@ -171,10 +194,12 @@
                 incarnation,
                 message,
             } => self.peer_sent(now, &from, incarnation, message, actions),
+            PoolEvent::PeerLost { vm } => self.peer_lost(now, &vm, actions),
             PoolEvent::StopRequested => self.stop_requested(now, actions),
             PoolEvent::DeadlineReached => {}
         }
         self.run_due_timers(now, actions);
+        self.redirect_remote_replies(now, first_action, actions);
     }
 
     /// Replaces the time limits that were given in [`PoolSettings`].
@@ -249,6 +274,9 @@
         for group in self.groups.values_mut() {
             group.failover = Failover::default();
         }
+        for health in self.peer_health.values_mut() {
+            health.heard_at = now;
+        }
         self.successor_monitor = SuccessorMonitor::default();
         self.successor_monitor.last_message_at = now;
     }
@@ -292,6 +320,9 @@
         actions: &mut Vec<PoolAction>,
     ) {
         self.successor_monitor.last_message_at = now;
+        if let Some(health) = self.peer_health.get_mut(from) {
+            health.heard_at = now;
+        }
         match message {
             PoolMessage::Ping => self.send_peer(from, PoolMessage::Pong, actions),
             PoolMessage::Pong => self.successor_monitor.answered(now, from),
@@ -325,6 +356,15 @@
                 self.refresh_group(now, &group, actions);
                 self.dispatch_group(now, &group, actions);
             }
+            PoolMessage::Forward(request) => {
+                self.forwarded_request_received(now, from, incarnation, *request, actions);
+            }
+            PoolMessage::ForwardReply(reply) => {
+                self.forwarded_reply_received(now, from, *reply, actions);
+            }
+            PoolMessage::EndForwarded { session } => {
+                self.forwarded_session_ended(now, from, session, actions);
+            }
         }
     }
 
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -101,11 +101,17 @@
         actions.push(PoolAction::CloseCaller { caller });
     }
 
-    fn drop_session(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
+    pub(crate) fn drop_session(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        actions: &mut Vec<PoolAction>,
+    ) {
         let Some(session) = self.sessions.remove(&caller) else {
             return;
         };
         self.active.remove(&caller);
+        self.end_at_home(&session, actions);
         if let Some(current) = &session.current {
             self.cancel_admission(now, current.request, actions);
             self.leave_queue(caller, &current.route.group);
@@ -294,24 +300,41 @@
                 return self.reply_error(caller, error, text, actions);
             }
         };
-        let in_transaction = open_transaction.is_some();
-        let needs_primary = match open_transaction {
-            Some(transaction) => !transaction.read_only,
-            None => operation.access() == Access::Write,
-        } || route.consistency == Consistency::Primary;
+        self.set_current(now, caller, route, id, text, operation, now);
+        self.admit_current(now, caller, &workspace, actions);
+    }
+
+    /// Makes a statement the current one of a session.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one statement")]
+    pub(crate) fn set_current(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        route: Rc<RouteRule>,
+        id: String,
+        text: String,
+        operation: Operation,
+        started_at: MonoTime,
+    ) {
         let request = self.new_request_id();
         let Some(session) = self.sessions.get_mut(&caller) else {
             return;
         };
+        let needs_primary = match &session.transaction {
+            Some(transaction) => !transaction.read_only,
+            None => operation.access() == Access::Write,
+        } || route.consistency == Consistency::Primary;
         session.current = Some(CurrentStatement {
             request,
             id,
             text,
             operation,
             route,
-            started_at: now,
+            started_at,
             placed_at: now,
             stage: Stage::Admission,
+            home: None,
+            forward_attempts: 0,
             excluded: SmallVec::new(),
             last_member: None,
             needs_primary,
@@ -320,8 +343,24 @@
             not_before: now,
         });
         self.active.insert(caller);
-        if !in_transaction {
-            return self.request_admission(now, caller, &workspace, actions);
+    }
+
+    /// Forwards a caller's current statement to the home of its workspace, or starts it on this VM.
+    pub(crate) fn admit_current(
+        &mut self,
+        now: MonoTime,
+        caller: CallerId,
+        workspace: &WorkspaceId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        if let Some(home) = self.home_of_current(now, caller) {
+            return self.forward_statement(now, caller, home, actions);
+        }
+        let Some(session) = self.sessions.get_mut(&caller) else {
+            return;
+        };
+        if session.transaction.is_none() {
+            return self.request_admission(now, caller, workspace, actions);
         }
         if let Some(current) = &mut session.current {
             current.stage = Stage::Waiting;
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -92,6 +92,11 @@
         index.map_or(0, |index| u32::try_from(index).unwrap_or(u32::MAX))
     }
 
+    /// Returns the VM with an index in the order of names.
+    pub(crate) fn vm_at(&self, index: usize) -> Option<&VmId> {
+        self.vms.keys().nth(index)
+    }
+
     /// Returns the next other VM in the order of names; after the last one comes the first.
     pub(crate) fn next_after(&self, vm: &VmId) -> Option<VmId> {
         let others = || self.vms.keys().filter(|other| *other != vm);
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -11,7 +11,10 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::RequestId;
+use lycheedoor_core::types::VmId;
 use lycheedoor_core::types::WorkspaceId;
+use serde::Deserialize;
+use serde::Serialize;
 use smallvec::SmallVec;
 
 use crate::config::RouteRule;
@@ -20,7 +23,7 @@
 use crate::statement::MemberFault;
 use crate::statement::TransactionState;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PreparedStatement {
     pub(crate) access: Access,
     pub(crate) statement_text: String,
@@ -32,6 +35,8 @@
     pub(crate) route: Rc<RouteRule>,
     pub(crate) read_only: bool,
     pub(crate) has_failed: bool,
+    /// The VM that runs the transaction, if that is not this one.
+    pub(crate) home: Option<VmId>,
     /// The connection that runs the transaction; `None` before its first statement.
     pub(crate) link: Option<ConnectionId>,
     /// Whether the caller has received a result. Until then the transaction can be restarted on
@@ -41,8 +46,23 @@
     pub(crate) used_at: MonoTime,
 }
 
+impl Transaction {
+    pub(crate) fn new(route: Rc<RouteRule>, read_only: bool, now: MonoTime) -> Self {
+        Self {
+            route,
+            read_only,
+            has_failed: false,
+            home: None,
+            link: None,
+            has_results: false,
+            has_written: false,
+            used_at: now,
+        }
+    }
+}
+
 /// What the current statement of a session does.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Operation {
     /// Opens a transaction. It needs a token, but no connection.
     Begin { read_only: bool },
@@ -76,6 +96,8 @@
     Waiting,
     /// The statement is queued on a connection or was sent over it.
     OnLink(ConnectionId),
+    /// The statement was forwarded to another VM.
+    Forwarded,
 }
 
 /// The statement that a session is executing.
@@ -90,6 +112,10 @@
     /// When the latest attempt was assigned to a connection.
     pub(crate) placed_at: MonoTime,
     pub(crate) stage: Stage,
+    /// The VM that the statement was forwarded to.
+    pub(crate) home: Option<VmId>,
+    /// How often a VM that the statement was forwarded to did not run it.
+    pub(crate) forward_attempts: u32,
     /// Members that could not run the statement, which retries avoid.
     pub(crate) excluded: SmallVec<[MemberId; 2]>,
     pub(crate) last_member: Option<MemberId>,
--- a/crates/pool/src/statement.rs
+++ b/crates/pool/src/statement.rs
@@ -3,9 +3,11 @@
 use bytes::Bytes;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::Term;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Whether a statement reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Access {
     /// The statement does not modify data.
     Read,
@@ -14,7 +16,7 @@
 }
 
 /// The state of a session's transaction.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionState {
     /// No transaction is open.
     #[default]
@@ -93,7 +95,7 @@
 }
 
 /// The reason why a caller gets no result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallerError {
     /// The statement has not run, because it cannot be served now.
     Busy,
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -78,6 +78,7 @@
                 self.config = new_config;
                 let rates_config = Arc::new(self.config.rates_config());
                 self.run_rates(now, RatesEvent::Configured(rates_config), actions);
+                self.homes_by_group.clear();
                 actions.push(PoolAction::Report(Report::ConfigurationApplied { version }));
             }
             Some(ObjectValue::Unusable(error)) => {
@@ -233,6 +234,7 @@
     fn update_rates_roster(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let view = self.roster.view(&self.settings.vm, now);
         self.run_rates(now, RatesEvent::Roster(view), actions);
+        self.homes_by_group.clear();
     }
 }
 
--- a/crates/pool/src/timeouts.rs
+++ b/crates/pool/src/timeouts.rs
@@ -7,6 +7,7 @@
 use lycheedoor_core::types::MonoTime;
 
 use crate::event::PoolAction;
+use crate::forward::is_remote;
 use crate::link::Owner;
 use crate::pool::Pool;
 use crate::session::Operation;
@@ -50,6 +51,9 @@
             };
             if limit.is_some_and(is_over) {
                 self.abort_transaction(now, caller, actions);
+                if is_remote(caller) {
+                    self.drop_remote_session(now, caller, actions);
+                }
             }
             return;
         };
@@ -64,6 +68,7 @@
                 }
                 self.fail_current(now, caller, CallerError::Busy, "no member in time", actions);
             }
+            Stage::Forwarded => self.check_forwarded(now, caller, actions),
             Stage::OnLink(link) if elapsed >= wait_limit => {
                 self.check_assigned_statement(now, caller, link, elapsed >= limit, actions);
             }
@@ -156,7 +161,7 @@
             self.note_member_failure(now, &group, &member, cause, actions);
         } else if !is_open {
             // The member answers on other connections, so it has no capacity for this one.
-            let budget = self.link_budget(&group, &member);
+            let budget = self.link_budget(&group);
             if let Some(member) = self.member_of(id) {
                 member.refused_connection(now);
                 member.overloaded(now, budget);
--- a/crates/pool/src/transactions.rs
+++ b/crates/pool/src/transactions.rs
@@ -6,6 +6,7 @@
 
 use crate::event::PoolAction;
 use crate::link::Purpose;
+use crate::message::PoolMessage;
 use crate::pool::Pool;
 use crate::session::Transaction;
 use crate::statement::CallerError;
@@ -26,15 +27,7 @@
         let Some(current) = session.current.take() else {
             return;
         };
-        session.transaction = Some(Transaction {
-            route: current.route,
-            read_only,
-            has_failed: false,
-            link: None,
-            has_results: false,
-            has_written: false,
-            used_at: now,
-        });
+        session.transaction = Some(Transaction::new(current.route, read_only, now));
         self.reply_done(caller, actions);
         self.next_request(now, caller, actions);
     }
@@ -51,6 +44,7 @@
         match session.transaction.take() {
             Some(transaction) => {
                 self.active.remove(&caller);
+                self.end_transaction_at_home(caller, &transaction, actions);
                 if let Some(link) = transaction.link {
                     self.roll_back_link(now, link, actions);
                 }
@@ -76,11 +70,28 @@
             return;
         };
         transaction.has_failed = true;
-        if let Some(link) = transaction.link.take() {
+        let ended = transaction.clone();
+        transaction.link = None;
+        transaction.home = None;
+        self.end_transaction_at_home(caller, &ended, actions);
+        if let Some(link) = ended.link {
             self.roll_back_link(now, link, actions);
         }
     }
 
+    /// Tells the VM that runs a transaction, if it is another one, that it has to be rolled back.
+    fn end_transaction_at_home(
+        &self,
+        caller: CallerId,
+        transaction: &Transaction,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        if let Some(home) = &transaction.home {
+            let message = PoolMessage::EndForwarded { session: caller };
+            self.send_peer(home, message, actions);
+        }
+    }
+
     /// Rolls back the open transaction of a connection, if any, and frees the connection.
     pub(crate) fn roll_back_link(
         &mut self,
--- a/crates/pool/tests/connections.rs
+++ b/crates/pool/tests/connections.rs
@@ -5,20 +5,21 @@
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::GroupId;
+use lycheedoor_core::types::VmId;
 use lycheedoor_core::types::WorkspaceId;
+use lycheedoor_pool::GroupHomes;
 use lycheedoor_pool::GroupRule;
 use lycheedoor_pool::MemberCommand;
 use lycheedoor_pool::MemberError;
 use lycheedoor_pool::MemberFault;
 use lycheedoor_pool::PoolEvent;
 use lycheedoor_pool::TransactionState;
-use lycheedoor_pool::connection_share;
 use support::PRIMARY;
 use support::PoolHarness;
 
-/// Share of one of three VMs in the 21 connections that a member accepts; one more share stays in
-/// reserve.
-const SHARE: usize = 5;
+/// Share of one of two VMs that are home of a workspace in the 21 connections that a member accepts;
+/// one more share stays in reserve.
+const SHARE: usize = 7;
 
 fn open_transaction(harness: &mut PoolHarness) -> CallerId {
     let caller = harness.open_session("primary-db");
@@ -231,10 +232,14 @@
 /// are never used although the reserve for a restarted VM does not need them.
 #[test]
 fn shares_fit_and_leave_a_reserve_for_one_more_vm() {
+    let names: Vec<VmId> = (0..300)
+        .map(|vm| VmId::from(format!("vm-{vm}").as_str()))
+        .collect();
     for (limit, vms) in (2..300).flat_map(|limit| (1..limit).map(move |vms| (limit, vms))) {
-        let shares: Vec<u32> = (0..vms)
-            .map(|rank| connection_share(limit, vms, rank))
-            .collect();
+        let names = &names[..vms as usize];
+        let rates = names.iter().map(|vm| (vm.clone(), 1));
+        let homes = GroupHomes::new(rates.collect(), limit);
+        let shares: Vec<u32> = names.iter().map(|vm| homes.connection_share(vm)).collect();
         let (sum, largest) = (shares.iter().sum::<u32>(), shares.iter().max().unwrap());
         assert!(
             sum + largest <= limit,
@@ -250,5 +255,9 @@
 /// Guards against a share of zero when a member accepts fewer connections than there are VMs.
 #[test]
 fn each_vm_may_hold_one_connection() {
-    assert_eq!(connection_share(79, 90, 89), 1);
+    let names = || (0..90).map(|vm| VmId::from(format!("vm-{vm}").as_str()));
+    let homes = GroupHomes::new(names().map(|vm| (vm, 1)).collect(), 79);
+    for vm in names().chain([VmId::from("not a home")]) {
+        assert_eq!(homes.connection_share(&vm), 1);
+    }
 }
--- a/crates/pool/tests/fleet_growth.rs
+++ b/crates/pool/tests/fleet_growth.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use fleet::Fleet;
@@ -20,6 +21,12 @@
 /// What a member of today's largest deployment accepts.
 const MAX_CONNECTIONS: u32 = 79;
 
+/// Returns what fleets of the different sizes do.
+fn runs() -> &'static [(u32, FleetCounts)] {
+    static RUNS: OnceLock<Vec<(u32, FleetCounts)>> = OnceLock::new();
+    RUNS.get_or_init(|| FLEET_SIZES.map(|vms| (vms, play(vms))).into())
+}
+
 fn play(vms: u32) -> FleetCounts {
     let mut fleet = Fleet::start(FleetSize {
         vms,
@@ -29,18 +36,15 @@
         max_connections: MAX_CONNECTIONS,
     });
     fleet.play(DURATION);
-    println!("{vms} VMs: {:?}", fleet.counts);
     fleet.counts
 }
 
 /// Guards against loan requests to all peers, whose number grows with the square of the fleet.
 #[test]
-#[ignore = "KNOWN-RED: each VM asks all others for loans"]
 fn loans_of_a_large_fleet_do_not_use_up_the_control_budget() {
-    for vms in FLEET_SIZES {
-        let counts = play(vms);
+    for (vms, counts) in runs() {
         let seconds = fleet::PLAYED_AFTER.as_secs() + DURATION.as_secs();
-        let bytes = counts.rate_message_bytes / u64::from(vms) / seconds;
+        let bytes = counts.rate_message_bytes / u64::from(*vms) / seconds;
         assert!(
             bytes <= MAX_CONTROL_BYTES_PER_VM_PER_S,
             "{vms} VMs: {bytes} bytes a VM and second"
@@ -50,10 +54,8 @@
 
 /// Guards against shares of at least one connection that add up to more than a member accepts.
 #[test]
-#[ignore = "KNOWN-RED: shares below one connection are rounded up"]
 fn connections_of_a_large_fleet_stay_within_what_a_member_accepts() {
-    for vms in FLEET_SIZES {
-        let counts = play(vms);
+    for (vms, counts) in runs() {
         assert!(
             counts.peak_connections <= MAX_CONNECTIONS,
             "{vms} VMs: {} connections",
@@ -64,10 +66,8 @@
 
 /// Guards against operations within the rate of their workspace that a large fleet does not serve.
 #[test]
-#[ignore = "KNOWN-RED: the rate is split into shares that are too small"]
 fn operations_within_the_rate_are_served_by_a_large_fleet() {
-    for vms in FLEET_SIZES {
-        let counts = play(vms);
+    for (vms, counts) in runs() {
         let refused: u64 = counts.refused.values().sum();
         assert!(
             refused * 1_000 <= counts.sent && counts.served + refused == counts.sent,
--- /dev/null
+++ b/crates/pool/tests/forwarding.rs
@@ -0,0 +1,302 @@
+//! Statements that are forwarded to the home of their workspace, and what callers get when the home
+//! cannot run them.
+
+mod support;
+
+use std::rc::Rc;
+
+use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::Incarnation;
+use lycheedoor_core::types::VmId;
+use lycheedoor_pool::CallerError;
+use lycheedoor_pool::CallerReply;
+use lycheedoor_pool::MemberCommand;
+use lycheedoor_pool::ObjectKind;
+use lycheedoor_pool::ObjectValue;
+use lycheedoor_pool::PoolAction;
+use lycheedoor_pool::PoolEvent;
+use lycheedoor_pool::PoolMessage;
+use lycheedoor_pool::TransactionState;
+use support::PRIMARY;
+use support::PoolHarness;
+use support::config;
+
+/// With these names the second VM is the home of the workspace in the group.
+const ENTRY: &str = "vm-1";
+const HOME: &str = "vm-2";
+
+/// Two VMs of a fleet: the one that callers are connected to, and the home of their workspace.
+struct Pair {
+    entry: PoolHarness,
+    home: PoolHarness,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let mut pair = Self {
+            entry: PoolHarness::start_as(ENTRY, &[HOME], config(1)),
+            home: PoolHarness::start_as(HOME, &[ENTRY], config(1)),
+        };
+        // The buckets of a VM fill after its start.
+        pair.entry.advance(1_000);
+        pair.home.advance(1_000);
+        pair
+    }
+
+    /// Delivers messages in both directions until there are none.
+    fn deliver(&mut self) {
+        while deliver(&mut self.entry, ENTRY, &mut self.home)
+            || deliver(&mut self.home, HOME, &mut self.entry)
+        {}
+    }
+
+    /// Sends a statement and lets the home's members answer it.
+    fn run(&mut self, caller: CallerId, text: &str, number: u64) {
+        self.entry.query(caller, text);
+        self.deliver();
+        self.home.answer_all_commands(number);
+        self.deliver();
+    }
+
+    /// Opens a transaction that has run one statement at the home.
+    fn open_transaction(&mut self) -> CallerId {
+        let caller = self.entry.open_session("primary-db");
+        self.run(caller, "BEGIN", 1);
+        self.entry.query(caller, "WRITE x 1");
+        self.deliver();
+        self.home.accept_links();
+        while let Some((link, _)) = self.home.take_command(PRIMARY) {
+            self.home.succeed(link, TransactionState::Open, 1);
+        }
+        self.deliver();
+        assert!(self.entry.links.is_empty());
+        caller
+    }
+
+    fn lose_home(&mut self) {
+        let vm = VmId::from(HOME);
+        self.entry.event(PoolEvent::PeerLost { vm });
+    }
+
+    fn error(&self, caller: CallerId) -> Option<CallerError> {
+        match self.entry.last_reply(caller) {
+            Some(CallerReply::Failed { error, .. }) => Some(*error),
+            _ => None,
+        }
+    }
+
+    fn is_done(&self, caller: CallerId) -> bool {
+        matches!(
+            self.entry.last_reply(caller),
+            Some(CallerReply::Done { .. })
+        )
+    }
+}
+
+fn deliver(from: &mut PoolHarness, name: &str, to: &mut PoolHarness) -> bool {
+    let messages: Vec<PoolMessage> = from
+        .other_actions
+        .extract_if(.., |action| matches!(action, PoolAction::SendPeer { .. }))
+        .filter_map(|action| match action {
+            PoolAction::SendPeer { message, .. } => Some(message),
+            _ => None,
+        })
+        .collect();
+    let is_any = !messages.is_empty();
+    for message in messages {
+        to.event(PoolEvent::PeerSent {
+            from: VmId::from(name),
+            incarnation: Incarnation(7),
+            message,
+        });
+    }
+    is_any
+}
+
+fn has_open_transaction(harness: &PoolHarness) -> bool {
+    let is_rollback = |command: &MemberCommand| *command == MemberCommand::Rollback;
+    let mut links = harness.links.values();
+    !links.any(|link| link.sent.iter().any(is_rollback))
+}
+
+/// Guards against connections to members on every VM that callers of a workspace are connected to.
+#[test]
+fn statement_runs_over_a_connection_of_the_home() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.run(caller, "WRITE x 1", 1);
+    assert!(pair.is_done(caller));
+    assert!(pair.entry.links.is_empty() && !pair.home.links.is_empty());
+}
+
+/// Guards against reads of a session that miss its own commit, since the home keeps no session.
+#[test]
+fn session_read_at_the_home_demands_the_own_commit() {
+    let mut pair = Pair::new();
+    pair.home.sample_primary_position(5);
+    let caller = pair.entry.open_session("session-db");
+    pair.run(caller, "WRITE x 1", 9);
+    pair.entry.query(caller, "READ x");
+    pair.deliver();
+    pair.home.accept_links();
+    let sent = pair.home.links.values().flat_map(|link| &link.sent);
+    let required = sent.filter_map(|command| match command {
+        MemberCommand::Forward {
+            required_position, ..
+        } => Some(*required_position),
+        _ => None,
+    });
+    let required: Vec<_> = required.collect();
+    assert_eq!(required, [Some(support::position(9))]);
+}
+
+/// Guards against values of a session that are missing on the connection of the home.
+#[test]
+fn session_values_are_set_on_the_connection_of_the_home() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "SET zone 7");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.deliver();
+    pair.home.accept_links();
+    let (_, command) = pair.home.take_command(PRIMARY).unwrap();
+    assert!(matches!(command, MemberCommand::SetValue { name, .. } if name == "zone"));
+}
+
+/// Guards against reads that are refused although another VM can run them.
+#[test]
+fn read_at_a_lost_home_is_served_by_the_vm_of_the_caller() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "READ x");
+    pair.lose_home();
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+}
+
+/// Guards against a write that is repeated, or said not to have run, after its home was lost.
+#[test]
+fn write_at_a_lost_home_is_in_doubt() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.lose_home();
+    assert_eq!(pair.error(caller), Some(CallerError::InDoubt));
+    assert!(pair.entry.links.is_empty());
+}
+
+/// Guards against a commit that is said to be rolled back after its home was lost.
+#[test]
+fn commit_at_a_lost_home_is_in_doubt() {
+    let mut pair = Pair::new();
+    let caller = pair.open_transaction();
+    pair.entry.query(caller, "COMMIT");
+    pair.lose_home();
+    assert_eq!(pair.error(caller), Some(CallerError::InDoubt));
+    pair.entry.query(caller, "WRITE x 2");
+    pair.entry.answer_all_commands(2);
+    assert!(pair.is_done(caller));
+}
+
+/// Guards against statements that run outside of their transaction after its home was lost.
+#[test]
+fn transaction_at_a_lost_home_is_aborted() {
+    let mut pair = Pair::new();
+    let caller = pair.open_transaction();
+    pair.lose_home();
+    pair.entry.query(caller, "WRITE x 2");
+    assert_eq!(pair.error(caller), Some(CallerError::Aborted));
+    assert!(pair.entry.links.is_empty());
+}
+
+/// Guards against a transaction that stays open at the home after a reset of the connection between
+/// the VMs.
+#[test]
+fn lost_connection_rolls_back_the_transaction_at_the_home() {
+    let mut pair = Pair::new();
+    pair.open_transaction();
+    assert!(has_open_transaction(&pair.home));
+    pair.lose_home();
+    pair.deliver();
+    assert!(!has_open_transaction(&pair.home));
+}
+
+/// Guards against transactions of callers that have left, which hold locks at the member.
+#[test]
+fn transaction_of_a_caller_that_left_is_rolled_back_at_the_home() {
+    let mut pair = Pair::new();
+    let caller = pair.open_transaction();
+    pair.entry.event(PoolEvent::CallerClosed { caller });
+    pair.deliver();
+    assert!(!has_open_transaction(&pair.home));
+}
+
+/// Guards against reads that wait for a home that is suspended or cut off until their timeout.
+#[test]
+fn silent_home_does_not_hold_reads() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "READ x");
+    pair.entry.advance(600);
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller), "a silent home is not tried again");
+}
+
+/// Guards against a second run of a write whose home is silent and may still run it.
+#[test]
+fn write_at_a_silent_home_times_out_and_is_not_repeated() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.entry.advance(1_200);
+    assert_eq!(pair.error(caller), Some(CallerError::TimedOut));
+    assert!(pair.entry.links.is_empty());
+}
+
+/// Guards against statements that a stopping home accepts or that are refused because of it.
+#[test]
+fn statement_for_a_stopping_home_runs_on_the_vm_of_the_caller() {
+    let mut pair = Pair::new();
+    pair.home.event(PoolEvent::StopRequested);
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.deliver();
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+}
+
+/// Guards against a home that handles statements by a configuration older than that of the VM that
+/// admitted them.
+#[test]
+fn home_with_an_older_configuration_does_not_run_the_statement() {
+    let mut pair = Pair::new();
+    let newer = ObjectValue::Config(Rc::new(config(2)));
+    pair.entry
+        .change_object(ObjectKind::Configuration, "main", Some(newer));
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.deliver();
+    assert!(pair.home.links.is_empty());
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+}
+
+/// Guards against a result that arrives after its statement was given up and is taken for that of
+/// the next one.
+#[test]
+fn late_result_of_the_home_is_ignored() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    deliver(&mut pair.entry, ENTRY, &mut pair.home);
+    pair.entry.advance(1_200);
+    pair.entry.query(caller, "WRITE x 2");
+    let replies = pair.entry.replies.len();
+    pair.home.answer_all_commands(1);
+    deliver(&mut pair.home, HOME, &mut pair.entry);
+    assert_eq!(pair.entry.replies.len(), replies);
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -155,8 +155,13 @@
 
     /// Creates the same pool with another configuration.
     pub(crate) fn start(peers: &[&str], config: PoolConfig) -> Self {
+        Self::start_as("vm-1", peers, config)
+    }
+
+    /// Creates the same pool on the VM of the given name.
+    pub(crate) fn start_as(vm: &str, peers: &[&str], config: PoolConfig) -> Self {
         let settings = PoolSettings {
-            vm: VmId::from("vm-1"),
+            vm: VmId::from(vm),
             incarnation: Incarnation(7),
             data_centre: DataCentreId::from("north"),
             peer_address: peer_address(),
@@ -183,7 +188,7 @@
         let members = members.map(|entry| (entry.id.to_string(), ObjectValue::Member(entry)));
         harness.load_objects(ObjectKind::Members, members.into());
         harness.load_objects(ObjectKind::Evacuations, Vec::new());
-        let names = std::iter::once("vm-1").chain(peers.iter().copied());
+        let names = std::iter::once(vm).chain(peers.iter().copied());
         let records = names.map(|name| {
             let record = FleetRecord::Vm {
                 incarnation: Incarnation(7),
