Close the connections of a VM that is home no longer

Change: each tick closes free connections beyond the VM's share, and unused ones in a group that the VM only stands in for. The test fails without the call.

--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -94,8 +94,13 @@
         position.unwrap_or(self.homes.len())
     }
 
+    /// Returns whether a VM is home of some workspace in the group.
+    pub fn contains(&self, vm: &VmId) -> bool {
+        self.homes.iter().any(|home| home.vm == *vm)
+    }
+
     /// Returns how many connections a VM may open to a member of the group. A VM that is not a home
-    /// may open one, to serve statements whose home is unavailable.
+    /// may open one, to serve statements whose home is unavailable, and closes it afterwards.
     pub fn connection_share(&self, vm: &VmId) -> u32 {
         let home = self.homes.iter().find(|home| home.vm == *vm);
         home.map_or(1, |home| home.connections)
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -255,6 +255,7 @@
         self.monitor_successor(now, actions);
         self.check_time_limits(now, actions);
         self.check_links(now, actions);
+        self.close_surplus_links(now, actions);
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in &groups {
             self.refresh_group(now, group, actions);
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -300,3 +300,18 @@
     deliver(&mut pair.home, HOME, &mut pair.entry);
     assert_eq!(pair.entry.replies.len(), replies);
 }
+
+/// Guards against connections that VMs keep after the homes have moved to VMs that joined, whose
+/// connections the members then refuse.
+#[test]
+fn vm_that_is_home_no_longer_closes_its_connections() {
+    let mut harness = PoolHarness::start_as(HOME, &[ENTRY], config(1));
+    harness.advance(1_000);
+    let caller = harness.open_session("primary-db");
+    harness.query(caller, "WRITE x 1");
+    harness.answer_all_commands(1);
+    assert!(!harness.links.is_empty());
+    harness.change_object(ObjectKind::Fleet, &format!("vm.{HOME}"), None);
+    harness.advance(1_000);
+    assert!(harness.links.is_empty());
+}
