Keep homes and shares of rates when a VM joins or leaves

Cause: homes and shares followed the number of a VM's slot, which is its place in the order of names, so a VM that joined or left moved most of them, and all buckets started empty for 300 ms on all VMs.

Change: shares follow the names of the VMs. A VM keeps the tokens of what it keeps of a share, and a loan ends when its lender has lost a part of the share. In a group the holders of a share are ranked alike for all workspaces, so that a group has fewer homes; where there are still more of them than a member accepts connections, they close unused ones.

--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -97,6 +97,8 @@
     held_slots: Vec<(u16, MonoTime)>,
     usable_slots: BTreeSet<u16>,
     slot_count: u16,
+    /// The names of the slots by number; empty if they are known by number only.
+    slot_names: Vec<VmId>,
     roster_version: u64,
     peers: BTreeMap<VmId, RosterPeer>,
     /// By peer, the roster version since which it has lost no slot. A grant from an older roster
@@ -131,6 +133,7 @@
             held_slots: Vec::new(),
             usable_slots: BTreeSet::new(),
             slot_count: 0,
+            slot_names: Vec::new(),
             roster_version: 0,
             peers: BTreeMap::new(),
             min_answer_roster_version: BTreeMap::new(),
@@ -158,6 +161,13 @@
         self.distribution = distribution;
     }
 
+    /// Sets the names of the slots by number for the next roster. Shares then belong to names: a
+    /// slot that is added or removed moves only the shares that it gets or had, and a VM keeps the
+    /// tokens of a share that it keeps.
+    pub fn set_slot_names(&mut self, names: Vec<VmId>) {
+        self.slot_names = names;
+    }
+
     /// Returns the slots that hold a share of a workspace's rate, by rank. The order is the same on
     /// all VMs with the same configuration and roster.
     pub fn share_slots(&self, workspace: &WorkspaceId) -> &[u16] {
@@ -297,7 +307,13 @@
         });
         for (id, workspace) in &self.config.workspaces {
             let limiter = self.limiters.entry(id.clone()).or_default();
-            limiter.split = Split::new(id, workspace, self.slot_count, self.distribution);
+            limiter.split = Split::new(
+                id,
+                workspace,
+                self.slot_count,
+                &self.slot_names,
+                self.distribution,
+            );
             let wait_ms = MAX_TOKEN_WAIT.as_millis() as usize;
             let accrued_in_wait = workspace.rate_per_s as usize * wait_ms / 1_000;
             limiter.max_waiting =
--- a/crates/core/src/rates/slots.rs
+++ b/crates/core/src/rates/slots.rs
@@ -6,12 +6,14 @@
 use crate::rates::Rates;
 use crate::rates::RatesAction;
 use crate::rates::last_seq;
+use crate::rates::limiter::Limiter;
 use crate::rates::split::Share;
 use crate::rates::split::Split;
 use crate::types::MonoTime;
 use crate::types::RosterPeer;
 use crate::types::RosterView;
 use crate::types::VmId;
+use crate::types::WorkspaceId;
 
 impl Rates {
     /// Starts to use the slots that have become usable, with empty buckets.
@@ -49,33 +51,65 @@
             return;
         }
         self.lease_until = Some(view.lease_until);
+        let slots_are_named = !self.slot_names.is_empty();
         let slot_count_changed = view.slot_count != self.slot_count;
+        let numbers_changed = slot_count_changed && !slots_are_named;
+        let former_shares = self.own_shares();
         self.roster_version = view.version;
         self.slot_count = view.slot_count;
         self.held_slots = view.slots.iter().map(|s| (s.slot, s.usable_from)).collect();
         let peers = view.peers.into_iter().map(|peer| (peer.vm.clone(), peer));
         let former = std::mem::replace(&mut self.peers, peers.collect());
-        self.drop_invalid_loans(&former, slot_count_changed);
+        self.drop_invalid_loans(&former, numbers_changed);
         for limiter in self.limiters.values_mut() {
             limiter.bucket.forget_borrowers(|vm, incarnation| {
                 let peer = self.peers.get(vm);
                 peer.is_some_and(|peer| peer.incarnation == incarnation)
             });
         }
-        if slot_count_changed {
+        if slot_count_changed || slots_are_named {
             for (id, limiter) in &mut self.limiters {
                 if let Some(workspace) = self.config.workspaces.get(id) {
-                    limiter.split = Split::new(id, workspace, self.slot_count, self.distribution);
+                    limiter.split = Split::new(
+                        id,
+                        workspace,
+                        self.slot_count,
+                        &self.slot_names,
+                        self.distribution,
+                    );
                 }
             }
         }
         self.update_share_holders();
         let due = self.held_slots.iter().filter(|slot| slot.1 <= now);
-        let usable = due.map(|slot| slot.0).collect();
-        self.set_usable_slots(now, usable, slot_count_changed);
+        let usable: BTreeSet<u16> = due.map(|slot| slot.0).collect();
+        if slots_are_named {
+            self.usable_slots = usable;
+            self.keep_common_shares(now, &former_shares);
+        } else {
+            self.set_usable_slots(now, usable, numbers_changed);
+        }
         self.check_lease(now, actions);
     }
 
+    /// Returns this VM's share of each workspace.
+    fn own_shares(&self) -> BTreeMap<WorkspaceId, Share> {
+        let share = |limiter: &Limiter| limiter.split.sum(self.usable_slots.iter().copied());
+        let shares = self.limiters.iter();
+        shares
+            .map(|(id, limiter)| (id.clone(), share(limiter)))
+            .collect()
+    }
+
+    /// Changes this VM's shares. It keeps the tokens of what it already had of a share.
+    fn keep_common_shares(&mut self, now: MonoTime, former: &BTreeMap<WorkspaceId, Share>) {
+        for (id, limiter) in &mut self.limiters {
+            let share = limiter.split.sum(self.usable_slots.iter().copied());
+            let former = former.get(id).copied().unwrap_or_default();
+            limiter.set_share(now, share.min(former), share);
+        }
+    }
+
     /// Determines which peers hold a share of each workspace.
     pub(crate) fn update_share_holders(&mut self) {
         let mut holder_of_slot = BTreeMap::new();
@@ -93,6 +127,14 @@
                 sum.refill_rate += share.refill_rate;
                 sum.capacity += share.capacity;
             }
+            for (vm, lender) in &mut limiter.lenders {
+                let former = limiter.share_holders.get(vm).copied().unwrap_or_default();
+                let share = holders.get(vm).copied().unwrap_or_default();
+                // What a peer has lost may belong to another VM soon.
+                if share.min(former) != former {
+                    lender.drop_loan(last_seq(&self.send_logs, vm));
+                }
+            }
             limiter.share_holders = holders;
         }
     }
--- a/crates/core/src/rates/split.rs
+++ b/crates/core/src/rates/split.rs
@@ -1,6 +1,7 @@
 //! The split of a workspace's rate and burst over the slots of the roster.
 
 use crate::config::Workspace;
+use crate::types::VmId;
 use crate::types::WorkspaceId;
 use crate::types::rendezvous_weight;
 
@@ -34,6 +35,16 @@
     pub(crate) capacity: u64,
 }
 
+impl Share {
+    /// Returns the lower refill rate and capacity of two shares.
+    pub(crate) fn min(self, other: Self) -> Self {
+        Self {
+            refill_rate: self.refill_rate.min(other.refill_rate),
+            capacity: self.capacity.min(other.capacity),
+        }
+    }
+}
+
 /// The shares of one workspace by slot number.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Split {
@@ -44,11 +55,13 @@
 
 impl Split {
     /// Splits a workspace's rate and burst into shares that add up to the whole. A small burst is
-    /// split over fewer slots, those with the highest rendezvous weights for the workspace.
+    /// split over fewer slots, those with the highest rendezvous weights for the workspace. The
+    /// weights are those of the slots' names, or of their numbers if they have no names.
     pub(crate) fn new(
         id: &WorkspaceId,
         workspace: &Workspace,
         slot_count: u16,
+        slot_names: &[VmId],
         distribution: RateDistribution,
     ) -> Self {
         let slot_count = slot_count.max(1);
@@ -65,7 +78,10 @@
             .clamp(1, u64::from(slot_count));
         let mut ranked: Vec<u16> = (0..slot_count).collect();
         ranked.sort_by_key(|slot| {
-            let weight = rendezvous_weight(&[id.as_str().as_bytes(), &slot.to_be_bytes()]);
+            let number = slot.to_be_bytes();
+            let name = slot_names.get(usize::from(*slot));
+            let name = name.map_or(number.as_slice(), |name| name.as_str().as_bytes());
+            let weight = rendezvous_weight(&[id.as_str().as_bytes(), name]);
             (std::cmp::Reverse(weight), *slot)
         });
         ranked.truncate(usize::try_from(parts).unwrap_or(usize::MAX));
--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -182,7 +182,9 @@
         if request.in_transaction {
             let is_same = |caller: &CallerId| {
                 let remote = self.remote_callers.get(caller);
+                let session = self.sessions.get(caller);
                 remote.is_some_and(|remote| remote.incarnation == incarnation)
+                    && session.is_some_and(|session| session.transaction.is_some())
             };
             let Some(caller) = known.filter(is_same) else {
                 let outcome = ForwardedOutcome::Failed {
@@ -378,10 +380,17 @@
         now: MonoTime,
         from: &VmId,
         session: CallerId,
+        latest: RequestId,
         actions: &mut Vec<PoolAction>,
     ) {
-        if let Some(caller) = self.remote_sessions.get(&(from.clone(), session)) {
-            self.drop_remote_session(now, *caller, actions);
+        let key = (from.clone(), session);
+        let Some(caller) = self.remote_sessions.get(&key).copied() else {
+            return;
+        };
+        // The message may have been overtaken by a later statement of the session.
+        let origin = self.remote_callers.get(&caller);
+        if origin.is_some_and(|origin| origin.request <= latest) {
+            self.drop_remote_session(now, caller, actions);
         }
     }
 
@@ -406,9 +415,9 @@
             return;
         };
         let (group, route) = (current.route.group.clone(), Rc::clone(&current.route));
-        let read_only = match current.operation {
-            Operation::Begin { read_only } => read_only,
-            _ => false,
+        let (is_begin, read_only) = match current.operation {
+            Operation::Begin { read_only } => (true, read_only),
+            _ => (false, false),
         };
         let (state, reply) = match reply.outcome {
             ForwardedOutcome::NotAccepted => {
@@ -456,6 +465,7 @@
                 transaction.home = None;
             }
             (_, Some(transaction)) => transaction.used_at = now,
+            (_, None) if !is_begin => {}
             (_, transaction @ None) => {
                 let mut opened = Transaction::new(route, read_only, now);
                 opened.home = Some(from.clone());
@@ -517,11 +527,22 @@
             .and_then(|transaction| transaction.home.as_ref())
             .or_else(|| current.and_then(|current| current.home.as_ref()));
         if let Some(home) = home {
-            let session = session.caller;
-            self.send_peer(home, PoolMessage::EndForwarded { session }, actions);
+            self.send_end_forwarded(home, session.caller, actions);
         }
     }
 
+    /// Tells another VM that what it runs for a session is needed no longer.
+    pub(crate) fn send_end_forwarded(
+        &self,
+        home: &VmId,
+        session: CallerId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let latest = self.latest_request();
+        let message = PoolMessage::EndForwarded { session, latest };
+        self.send_peer(home, message, actions);
+    }
+
     /// Handles the loss of the connection to another VM: statements there may not have arrived, and
     /// their results may be lost.
     pub(crate) fn peer_lost(&mut self, now: MonoTime, vm: &VmId, actions: &mut Vec<PoolAction>) {
--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -39,6 +39,8 @@
 /// member of the group accepts.
 #[derive(Clone, Debug, Default)]
 pub struct GroupHomes {
+    /// Whether there are more homes than connections, so that not each of them can keep one.
+    is_oversubscribed: bool,
     /// The VM whose workspaces have the highest rates comes first.
     homes: Vec<GroupHome>,
 }
@@ -85,7 +87,11 @@
             largest = new_largest;
             by_quotient.push((quotient(home), Reverse(index)));
         }
-        Self { homes }
+        let home_count = u32::try_from(homes.len()).unwrap_or(u32::MAX);
+        Self {
+            is_oversubscribed: home_count >= max_connections,
+            homes,
+        }
     }
 
     /// Returns how many VMs have a higher rate in the group than the given one.
@@ -94,9 +100,10 @@
         position.unwrap_or(self.homes.len())
     }
 
-    /// Returns whether a VM is home of some workspace in the group.
-    pub fn contains(&self, vm: &VmId) -> bool {
-        self.homes.iter().any(|home| home.vm == *vm)
+    /// Returns whether a VM may keep connections that it does not use. A VM that is not a home, or
+    /// one of more homes than there are connections, leaves them to others.
+    pub fn may_keep_unused(&self, vm: &VmId) -> bool {
+        !self.is_oversubscribed && self.homes.iter().any(|home| home.vm == *vm)
     }
 
     /// Returns how many connections a VM may open to a member of the group. A VM that is not a home
@@ -152,19 +159,18 @@
     }
 
     /// Returns the VMs that may be home of a workspace in a group, the preferred one first. They are
-    /// those that hold a share of the workspace's rate.
+    /// those that hold a share of the workspace's rate. Their order is the same for all workspaces,
+    /// so that a group has fewer homes, which share the connections that its members accept.
     fn homes(&self, workspace: &WorkspaceId, group: &GroupId) -> SmallVec<[VmId; 4]> {
         let slots = self.rates.share_slots(workspace);
-        let parts = [workspace.as_str().as_bytes(), group.as_str().as_bytes()];
-        let first = match u64::try_from(slots.len()) {
-            Ok(count) if count > 0 => rendezvous_weight(&parts) % count,
-            _ => return SmallVec::new(),
-        };
-        let first = usize::try_from(first).unwrap_or_default();
-        let (before, from_first) = slots.split_at(first);
-        let order = from_first.iter().chain(before);
-        let vms = order.filter_map(|slot| self.roster.vm_at(usize::from(*slot)));
-        vms.cloned().collect()
+        let vms = slots
+            .iter()
+            .filter_map(|slot| self.roster.vm_at(usize::from(*slot)));
+        let mut homes: SmallVec<[VmId; 4]> = vms.cloned().collect();
+        let weight =
+            |vm: &VmId| rendezvous_weight(&[group.as_str().as_bytes(), vm.as_str().as_bytes()]);
+        homes.sort_by_cached_key(|vm| Reverse(weight(vm)));
+        homes
     }
 
     /// Computes the homes of a group unless they are known.
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -20,9 +20,8 @@
 use crate::statement::MemberError;
 use crate::statement::MemberFault;
 
-/// How long a VM keeps an unused connection in a group in which it only stands in for homes that are
-/// unavailable.
-const STAND_IN_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a VM keeps an unused connection that it has to leave to others.
+const UNUSED_LINK_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Pool {
     /// Records that a member did not answer, and reports it when it was considered up until now.
@@ -129,8 +128,8 @@
     }
 
     /// Closes free connections that exceed this VM's share, or that it has not used for
-    /// `STAND_IN_IDLE_TIMEOUT` in a group that it is not home in. Other VMs need them after the
-    /// homes have changed.
+    /// `UNUSED_LINK_TIMEOUT` although it has to leave unused ones to others. Other VMs need them
+    /// after the homes have changed.
     pub(crate) fn close_surplus_links(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let mut surplus = Vec::new();
         for (id, group) in &self.groups {
@@ -138,7 +137,7 @@
                 continue;
             }
             let homes = self.group_homes(id);
-            let is_home = homes.contains(&self.settings.vm);
+            let may_keep_unused = homes.may_keep_unused(&self.settings.vm);
             let budget = homes.connection_share(&self.settings.vm);
             for (name, member) in &group.members {
                 let of_member = |link: &&Link| link.group == *id && link.member == *name;
@@ -151,11 +150,11 @@
                 free.sort_by_key(|link| link.used_at);
                 let excess = usize::try_from(member.links.saturating_sub(budget));
                 let excess = excess.unwrap_or(usize::MAX);
-                let is_idle = |link: &Link| now.since(link.used_at) >= STAND_IN_IDLE_TIMEOUT;
+                let is_idle = |link: &Link| now.since(link.used_at) >= UNUSED_LINK_TIMEOUT;
                 let closed = free
                     .iter()
                     .enumerate()
-                    .filter(|(index, link)| *index < excess || !is_home && is_idle(link));
+                    .filter(|(index, link)| *index < excess || !may_keep_unused && is_idle(link));
                 surplus.extend(closed.map(|(_, link)| link.id));
             }
         }
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -4,6 +4,7 @@
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MemberId;
+use lycheedoor_core::types::RequestId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -53,5 +54,7 @@
     EndForwarded {
         /// The session at the sender.
         session: CallerId,
+        /// The latest statement of the sender; what later ones have begun goes on.
+        latest: RequestId,
     },
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -307,6 +307,11 @@
         RequestId(self.last_request_number)
     }
 
+    /// Returns the number of the latest statement.
+    pub(crate) fn latest_request(&self) -> RequestId {
+        RequestId(self.last_request_number)
+    }
+
     /// Returns the time of the first failed read since the store last answered.
     pub(crate) fn store_lost_since(&self) -> Option<MonoTime> {
         self.store_lost_since
@@ -363,8 +368,8 @@
             PoolMessage::ForwardReply(reply) => {
                 self.forwarded_reply_received(now, from, *reply, actions);
             }
-            PoolMessage::EndForwarded { session } => {
-                self.forwarded_session_ended(now, from, session, actions);
+            PoolMessage::EndForwarded { session, latest } => {
+                self.forwarded_session_ended(now, from, session, latest, actions);
             }
         }
     }
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -59,9 +59,8 @@
 pub(crate) struct Roster {
     vms: BTreeMap<VmId, RosterVm>,
     version: u64,
-    /// The number of slots in the latest view, and this VM's slot with the time from which it may
-    /// be used.
-    own_slot: Option<(usize, HeldSlot)>,
+    /// The time from which this VM may use its shares; `None` while it is not in the roster.
+    usable_from: Option<MonoTime>,
 }
 
 impl Roster {
@@ -113,20 +112,16 @@
     /// Returns the roster in the form that the rates role uses, in which the slot of a VM is its
     /// index in the order of names.
     ///
-    /// A VM that restarts under its name keeps its slot. When slots change, the new share is used
-    /// only after `ROSTER_PROPAGATION_DELAY`, when the other VMs have learned of it.
+    /// A VM that joins or restarts uses its shares only after `ROSTER_PROPAGATION_DELAY`, when the
+    /// other VMs have learned of it.
     pub(crate) fn view(&mut self, own: &VmId, now: MonoTime) -> RosterView {
         let slot_of = |vm: &VmId| {
             let index = self.vms.keys().position(|other| other == vm)?;
             u16::try_from(index).ok()
         };
-        let count = self.vms.len();
-        let slots = slot_of(own).map(|slot| match self.own_slot {
-            Some((known, held)) if known == count && held.slot == slot => held,
-            _ => HeldSlot {
-                slot,
-                usable_from: now + ROSTER_PROPAGATION_DELAY,
-            },
+        let slots = slot_of(own).map(|slot| HeldSlot {
+            slot,
+            usable_from: self.usable_from.unwrap_or(now + ROSTER_PROPAGATION_DELAY),
         });
         let peers = self.vms.iter().filter(|(vm, _)| *vm != own);
         let peers = peers.map(|(vm, entry)| RosterPeer {
@@ -134,7 +129,7 @@
             incarnation: entry.incarnation,
             slots: slot_of(vm).into_iter().collect(),
         });
-        self.own_slot = slots.map(|held| (count, held));
+        self.usable_from = slots.map(|held| held.usable_from);
         RosterView {
             version: self.version,
             slot_count: u16::try_from(self.vms.len()).unwrap_or(u16::MAX),
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -233,6 +233,8 @@
 
     fn update_rates_roster(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let view = self.roster.view(&self.settings.vm, now);
+        self.rates
+            .set_slot_names(self.roster.names().cloned().collect());
         self.run_rates(now, RatesEvent::Roster(view), actions);
         self.homes_by_group.clear();
     }
--- a/crates/pool/src/transactions.rs
+++ b/crates/pool/src/transactions.rs
@@ -6,7 +6,6 @@
 
 use crate::event::PoolAction;
 use crate::link::Purpose;
-use crate::message::PoolMessage;
 use crate::pool::Pool;
 use crate::session::Transaction;
 use crate::statement::CallerError;
@@ -87,8 +86,7 @@
         actions: &mut Vec<PoolAction>,
     ) {
         if let Some(home) = &transaction.home {
-            let message = PoolMessage::EndForwarded { session: caller };
-            self.send_peer(home, message, actions);
+            self.send_end_forwarded(home, caller, actions);
         }
     }
 
