Ignore forwarded statements that their session has given up

Cause, shown by the test: a connection between two VMs is replaced while the home has not read all of it. A statement on the old connection, which the VM of the caller has given up, arrives after the session has begun a transaction over the new one, and replaced that transaction's session at the home; the next statement of the transaction ran in the session of the old one.

Change: a home ignores a statement whose number is not higher than the latest one of its session. The test fails without it: [Forward { id: "id-WRITE x 1", .. }] where a Begin is expected.

--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -179,14 +179,19 @@
         };
         let known = self.remote_sessions.get(&(from.clone(), request.session));
         let known = known.copied();
+        let remote = known.and_then(|caller| self.remote_callers.get(&caller));
+        let is_same_process = remote.is_some_and(|remote| remote.incarnation == incarnation);
+        if is_same_process && remote.is_some_and(|remote| remote.request >= request.request) {
+            // The sender has given up this statement: its session has sent a later one, which came
+            // over another connection.
+            return;
+        }
         if request.in_transaction {
-            let is_same = |caller: &CallerId| {
-                let remote = self.remote_callers.get(caller);
+            let is_open = |caller: &CallerId| {
                 let session = self.sessions.get(caller);
-                remote.is_some_and(|remote| remote.incarnation == incarnation)
-                    && session.is_some_and(|session| session.transaction.is_some())
+                is_same_process && session.is_some_and(|session| session.transaction.is_some())
             };
-            let Some(caller) = known.filter(is_same) else {
+            let Some(caller) = known.filter(is_open) else {
                 let outcome = ForwardedOutcome::Failed {
                     error: CallerError::Aborted,
                     text: "transaction is not open at its VM".into(),
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -371,3 +371,35 @@
         );
     }
 }
+
+/// Guards against a statement that arrives after the session's next transaction has begun, over a
+/// connection that was replaced, and takes that transaction's place.
+#[test]
+fn statement_that_was_given_up_does_not_end_the_next_transaction() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    let is_message = |action: &mut PoolAction| matches!(action, PoolAction::SendPeer { .. });
+    let late: Vec<_> = pair
+        .entry
+        .other_actions
+        .extract_if(.., is_message)
+        .collect();
+    pair.lose_home();
+    assert_eq!(pair.error(caller), Some(CallerError::InDoubt));
+    pair.entry.advance(1_000);
+    pair.deliver();
+    pair.run(caller, "BEGIN", 1);
+    assert!(pair.is_done(caller));
+    pair.entry.other_actions.extend(late);
+    pair.deliver();
+    pair.entry.query(caller, "WRITE x 2");
+    pair.deliver();
+    pair.home.accept_links();
+    let sent = pair.home.links.values().flat_map(|link| &link.sent);
+    let sent: Vec<_> = sent.collect();
+    assert!(
+        matches!(sent[..], [MemberCommand::Begin { .. }]),
+        "{sent:?}"
+    );
+}
