Read changes of the store that come in quick succession together

Cause: each change wakes the watch of each VM, and each watch is called again at once.

Change: after three calls of a kind in quick succession the next one is made 500 ms later and reads all changes since; a single change is still read at once. A VM applies its own record when the write is confirmed, so it is not ready later.

--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -10,7 +10,9 @@
 use crate::event::WriteOutcome;
 use crate::pool::Pool;
 use crate::roster::FleetRecord;
+use crate::store::ObjectChange;
 use crate::store::ObjectKind;
+use crate::store::ObjectValue;
 use crate::store::StoreWatcher;
 
 pub(crate) const VM_RECORD_PREFIX: &str = "vm.";
@@ -34,10 +36,7 @@
         let name = format!("{VM_RECORD_PREFIX}{}", self.settings.vm);
         let expected = self.record_revisions.get(&name).copied();
         self.registration_due = Some(now + REGISTRATION_RETRY_DELAY);
-        let record = FleetRecord::Vm {
-            incarnation: self.settings.incarnation,
-            address: self.settings.peer_address,
-        };
+        let record = self.own_record();
         actions.push(PoolAction::WriteRecord {
             name,
             record,
@@ -45,6 +44,30 @@
         });
     }
 
+    fn own_record(&self) -> FleetRecord {
+        FleetRecord::Vm {
+            incarnation: self.settings.incarnation,
+            address: self.settings.peer_address,
+        }
+    }
+
+    fn apply_own_record(
+        &mut self,
+        now: MonoTime,
+        name: &str,
+        revision: u64,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let change = ObjectChange {
+            name: name.to_owned(),
+            revision,
+            value: Some(ObjectValue::Fleet(self.own_record())),
+        };
+        if self.apply_record(change, actions) {
+            self.update_rates_roster(now, actions);
+        }
+    }
+
     pub(crate) fn record_written(
         &mut self,
         now: MonoTime,
@@ -63,9 +86,16 @@
             return self.claim_answered(now, &group, outcome, actions);
         }
         let is_own = name.strip_prefix(VM_RECORD_PREFIX) == Some(self.settings.vm.as_str());
-        if is_own && matches!(outcome, WriteOutcome::Conflict { .. }) {
-            // The next attempt uses the revision that the conflict reported.
-            self.registration_due = Some(now);
+        match outcome {
+            WriteOutcome::Written(revision) if is_own => {
+                // The watch may report the change later, together with others.
+                self.apply_own_record(now, name, revision, actions);
+            }
+            WriteOutcome::Conflict { .. } if is_own => {
+                // The next attempt uses the revision that the conflict reported.
+                self.registration_due = Some(now);
+            }
+            _ => {}
         }
         self.update_readiness(now, actions);
     }
--- a/crates/pool/src/store.rs
+++ b/crates/pool/src/store.rs
@@ -18,6 +18,13 @@
 /// store is available again.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Changes of one kind that are read at once, each by a call of its own. Further ones are read
+/// together, since each call wakes all VMs and counts against the rate of the store.
+const MAX_SINGLE_CHANGES: u32 = 3;
+
+/// Time after which one more change is read at once, and the longest delay of a change that is not.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The kinds of object that the pool watches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ObjectKind {
@@ -141,6 +148,9 @@
     retry_delay: Duration,
     known_names: BTreeSet<String>,
     is_loaded: bool,
+    /// How many more changes are read at once, as of `single_changes_at`.
+    single_changes: u32,
+    single_changes_at: MonoTime,
 }
 
 impl StoreWatcher {
@@ -154,6 +164,8 @@
             retry_delay: INITIAL_RETRY_DELAY,
             known_names: BTreeSet::new(),
             is_loaded: false,
+            single_changes: MAX_SINGLE_CHANGES,
+            single_changes_at: MonoTime::ZERO,
         }
     }
 
@@ -202,6 +214,9 @@
             ObjectAnswer::Events { changes, revision } => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
                 self.phase = Phase::Watch(revision);
+                if !changes.is_empty() {
+                    self.pace_calls(now);
+                }
                 for change in &changes {
                     match change.value {
                         Some(_) => self.known_names.insert(change.name.clone()),
@@ -222,6 +237,27 @@
         }
     }
 
+    /// Delays the next call if changes arrive in quick succession.
+    fn pace_calls(&mut self, now: MonoTime) {
+        let elapsed = now.since(self.single_changes_at).as_millis();
+        let gained = elapsed / CHANGE_INTERVAL.as_millis();
+        if gained > 0 {
+            let gained = u32::try_from(gained).unwrap_or(u32::MAX);
+            self.single_changes = self
+                .single_changes
+                .saturating_add(gained)
+                .min(MAX_SINGLE_CHANGES);
+            self.single_changes_at = now;
+        }
+        match self.single_changes.checked_sub(1) {
+            Some(rest) => self.single_changes = rest,
+            None => {
+                self.retry_at = Some(now + CHANGE_INTERVAL);
+                self.single_changes_at = now + CHANGE_INTERVAL;
+            }
+        }
+    }
+
     fn apply_page(
         &mut self,
         objects: Vec<ObjectChange>,
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -174,7 +174,11 @@
         }
     }
 
-    fn apply_record(&mut self, change: ObjectChange, actions: &mut Vec<PoolAction>) -> bool {
+    pub(crate) fn apply_record(
+        &mut self,
+        change: ObjectChange,
+        actions: &mut Vec<PoolAction>,
+    ) -> bool {
         let known = self
             .record_revisions
             .get(&change.name)
@@ -231,7 +235,7 @@
         }
     }
 
-    fn update_rates_roster(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
+    pub(crate) fn update_rates_roster(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let view = self.roster.view(&self.settings.vm, now);
         self.rates
             .set_slot_names(self.roster.names().cloned().collect());
