Log when a home does not accept statements, and split forwarding by side

A VM that stops forwarding to a home, because the connection is lost, there is no answer or the home does not accept statements, did not log that. The home's side of forwarding moves to a module of its own; no decision changes.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -138,6 +138,13 @@
         Report::VmRemoved { vm, silence } => {
             emit_limited_by_kind(&events::VM_REMOVED, &[vm.as_str().into(), millis(*silence)]);
         }
+        Report::PeerUnavailable { vm, cause } => {
+            let values = [vm.as_str().into(), (*cause).into()];
+            emit_limited_by_kind(&events::HOME_UNAVAILABLE, &values);
+        }
+        Report::PeerAvailable { vm } => {
+            emit_limited_by_kind(&events::HOME_BACK, &[vm.as_str().into()]);
+        }
         Report::StoreBack { outage } => emit(&events::STORE_BACK, &[millis(*outage)]),
         Report::StopStarted { sessions } => {
             emit(&events::STOP_STARTED, &[(*sessions).into()]);
--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -19,7 +19,9 @@
 use lycheedoor_core::types::rendezvous_weight;
 use smallvec::SmallVec;
 
+use crate::event::PoolAction;
 use crate::pool::Pool;
+use crate::report::Report;
 
 /// The rate of a workspace, in operations a second, from which its rate is split over one more VM.
 /// A small VM serves a few times as many.
@@ -126,15 +128,19 @@
 }
 
 impl PeerHealth {
-    fn failed(&mut self, now: MonoTime) {
+    /// Records a failure; returns whether the peer was available until now.
+    fn failed(&mut self, now: MonoTime) -> bool {
+        let was_available = self.retry_delay.is_zero();
         let delay = self.retry_delay.max(INITIAL_RETRY_DELAY);
         self.unavailable_until = now + delay;
         self.retry_delay = (delay * 2).min(MAX_RETRY_DELAY);
+        was_available
     }
 
-    fn accepted(&mut self) {
+    /// Records that the peer has run a statement; returns whether it was unavailable until now.
+    fn accepted(&mut self) -> bool {
         self.unavailable_until = MonoTime::ZERO;
-        self.retry_delay = Duration::ZERO;
+        !std::mem::take(&mut self.retry_delay).is_zero()
     }
 }
 
@@ -203,12 +209,24 @@
     }
 
     /// Records that a VM did not accept a statement, or cannot be reached.
-    pub(crate) fn note_peer_unavailable(&mut self, now: MonoTime, vm: &VmId) {
-        self.peer_health.entry(vm.clone()).or_default().failed(now);
+    pub(crate) fn note_peer_unavailable(
+        &mut self,
+        now: MonoTime,
+        vm: &VmId,
+        cause: &'static str,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        if self.peer_health.entry(vm.clone()).or_default().failed(now) {
+            let vm = vm.clone();
+            actions.push(PoolAction::Report(Report::PeerUnavailable { vm, cause }));
+        }
     }
 
     /// Records that a VM has run a statement.
-    pub(crate) fn note_peer_available(&mut self, vm: &VmId) {
-        self.peer_health.entry(vm.clone()).or_default().accepted();
+    pub(crate) fn note_peer_available(&mut self, vm: &VmId, actions: &mut Vec<PoolAction>) {
+        if self.peer_health.entry(vm.clone()).or_default().accepted() {
+            let vm = vm.clone();
+            actions.push(PoolAction::Report(Report::PeerAvailable { vm }));
+        }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -28,6 +28,7 @@
 mod pool;
 mod probe;
 mod registration;
+mod remote;
 mod replies;
 mod report;
 mod requests;
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -151,6 +151,18 @@
         /// Time since the last answer of the VM.
         silence: Duration,
     },
+    /// Another VM does not accept statements; they run elsewhere.
+    PeerUnavailable {
+        /// The VM that does not accept statements.
+        vm: VmId,
+        /// How this VM noticed it.
+        cause: &'static str,
+    },
+    /// A VM that did not accept statements has run one.
+    PeerAvailable {
+        /// The VM that accepts statements again.
+        vm: VmId,
+    },
     /// The store answers again.
     StoreBack {
         /// How long reads from the store failed.
--- a/crates/pool/src/timeouts.rs
+++ b/crates/pool/src/timeouts.rs
@@ -7,9 +7,9 @@
 use lycheedoor_core::types::MonoTime;
 
 use crate::event::PoolAction;
-use crate::forward::is_remote;
 use crate::link::Owner;
 use crate::pool::Pool;
+use crate::remote::is_remote;
 use crate::session::Operation;
 use crate::session::Stage;
 use crate::statement::Access;
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -75,4 +75,6 @@
     &STATEMENT_LATE,
     &VM_REMOVED,
     &VM_LOAD,
+    &HOME_UNAVAILABLE,
+    &HOME_BACK,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -216,3 +216,23 @@
         "store_calls",
     ],
 );
+
+/// LD-W-1119: another VM does not accept forwarded statements; they run elsewhere.
+pub const HOME_UNAVAILABLE: EventKind = event(
+    "LD-W-1119",
+    "home_unavailable",
+    Level::Warn,
+    POOL,
+    "another VM does not accept forwarded statements; they run elsewhere",
+    &["vm", "cause"],
+);
+
+/// LD-I-1120: another VM accepts forwarded statements again.
+pub const HOME_BACK: EventKind = event(
+    "LD-I-1120",
+    "home_back",
+    Level::Info,
+    POOL,
+    "another VM accepts forwarded statements again",
+    &["vm"],
+);
