Forward statements only to VMs whose record says that they accept them

A VM of the build before forwarding does not understand a forwarded statement and closes the connection, so that a write sent to it while the fleet is replaced would have an unknown outcome. The record of a VM now says whether it accepts forwarded statements; records of older builds lack the field. The test fails without the check.

--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -172,7 +172,11 @@
         let vms = slots
             .iter()
             .filter_map(|slot| self.roster.vm_at(usize::from(*slot)));
-        let mut homes: SmallVec<[VmId; 4]> = vms.cloned().collect();
+        let accepts_forwarded = |vm: &&VmId| {
+            let entry = self.roster.get(vm);
+            entry.is_some_and(|entry| entry.accepts_forwarded)
+        };
+        let mut homes: SmallVec<[VmId; 4]> = vms.filter(accepts_forwarded).cloned().collect();
         let weight =
             |vm: &VmId| rendezvous_weight(&[group.as_str().as_bytes(), vm.as_str().as_bytes()]);
         homes.sort_by_cached_key(|vm| Reverse(weight(vm)));
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -48,6 +48,7 @@
         FleetRecord::Vm {
             incarnation: self.settings.incarnation,
             address: self.settings.peer_address,
+            accepts_forwarded: true,
         }
     }
 
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -32,6 +32,10 @@
         incarnation: Incarnation,
         /// The address to which peers send their messages.
         address: SocketAddr,
+        /// Whether the VM runs statements that others forward. Records of builds that cannot do so
+        /// lack the field.
+        #[serde(default)]
+        accepts_forwarded: bool,
     },
     /// The latest claim to replace the primary of a group. The revision of this record is the
     /// fencing token of the claim, so no two claims share a token.
@@ -52,6 +56,7 @@
 pub(crate) struct RosterVm {
     pub(crate) incarnation: Incarnation,
     pub(crate) address: SocketAddr,
+    pub(crate) accepts_forwarded: bool,
 }
 
 /// The VMs of the fleet by name.
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -200,11 +200,13 @@
                 Some(ObjectValue::Fleet(FleetRecord::Vm {
                     incarnation,
                     address,
+                    accepts_forwarded,
                 })),
             ) => {
                 let entry = RosterVm {
                     incarnation,
                     address,
+                    accepts_forwarded,
                 };
                 self.roster.set(vm, entry, change.revision)
             }
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -116,6 +116,7 @@
         let record = FleetRecord::Vm {
             incarnation: Incarnation(7),
             address: address(vm),
+            accepts_forwarded: true,
         };
         (format!("vm.{}", vm_id(vm)), ObjectValue::Fleet(record))
     });
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -353,6 +353,7 @@
     let joined = FleetRecord::Vm {
         incarnation: Incarnation(8),
         address: ([127, 0, 0, 1], 7_560).into(),
+        accepts_forwarded: true,
     };
     harness.change_object(
         ObjectKind::Fleet,
@@ -403,3 +404,22 @@
         "{sent:?}"
     );
 }
+
+/// Guards against writes with an unknown outcome while a build without forwarding is replaced: its VMs
+/// do not understand forwarded statements.
+#[test]
+fn vm_of_a_build_without_forwarding_gets_no_statements() {
+    let mut pair = Pair::new();
+    let older = FleetRecord::Vm {
+        incarnation: Incarnation(8),
+        address: ([127, 0, 0, 1], 7_560).into(),
+        accepts_forwarded: false,
+    };
+    let name = format!("vm.{HOME}");
+    let older = Some(ObjectValue::Fleet(older));
+    pair.entry.change_object(ObjectKind::Fleet, &name, older);
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+}
--- a/crates/pool/tests/roster.rs
+++ b/crates/pool/tests/roster.rs
@@ -131,6 +131,7 @@
     let record = FleetRecord::Vm {
         incarnation: Incarnation(7),
         address: ([127, 0, 0, 1], 7_560).into(),
+        accepts_forwarded: true,
     };
     harness.change_object(
         ObjectKind::Fleet,
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -194,6 +194,7 @@
             let record = FleetRecord::Vm {
                 incarnation: Incarnation(7),
                 address: peer_address(),
+                accepts_forwarded: true,
             };
             (format!("vm.{name}"), ObjectValue::Fleet(record))
         });
