--- a/crates/core/src/rates/borrow.rs
+++ b/crates/core/src/rates/borrow.rs
@@ -34,7 +34,10 @@
         }
         let active = self.limiters.iter_mut().filter_map(|(id, limiter)| {
             let may_need_loans = limiter.may_need_loans() || !limiter.waiting.is_empty();
-            may_need_loans.then(|| id.clone())
+            may_need_loans.then(|| {
+                limiter.advance(now, |peer| last_seq(&self.send_logs, peer));
+                id.clone()
+            })
         });
         let workspaces: Vec<WorkspaceId> = active.collect();
         let renewal = now >= self.next_renewal;
--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -197,6 +197,7 @@
         } = event
         {
             self.receive(now, from, incarnation, message, actions);
+            self.queue_due_loan_requests(now);
             self.flush(now, actions);
             return self.report_drained(actions);
         }
