Split rates only when the names in the roster change, and hash each slot once

Each record that changes in the roster split the rates of all workspaces again, also when only an incarnation had changed, and sorting the slots hashed them again for each comparison: 87 workspaces x 300 slots x some ten hashes. The slots of the peers were also found by a search for each of them.

Change: the rates are split when a name joins or leaves, each slot is hashed once, and the roster is numbered in one pass. No decision changes. Whether this is all that grows with the fleet is not known yet.

--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -99,6 +99,8 @@
     slot_count: u16,
     /// The names of the slots by number; empty if they are known by number only.
     slot_names: Vec<VmId>,
+    /// Whether the names have changed since the rates were split over the slots.
+    names_changed: bool,
     roster_version: u64,
     peers: BTreeMap<VmId, RosterPeer>,
     /// By peer, the roster version since which it has lost no slot. A grant from an older roster
@@ -134,6 +136,7 @@
             usable_slots: BTreeSet::new(),
             slot_count: 0,
             slot_names: Vec::new(),
+            names_changed: false,
             roster_version: 0,
             peers: BTreeMap::new(),
             min_answer_roster_version: BTreeMap::new(),
@@ -165,6 +168,7 @@
     /// slot that is added or removed moves only the shares that it gets or had, and a VM keeps the
     /// tokens of a share that it keeps.
     pub fn set_slot_names(&mut self, names: Vec<VmId>) {
+        self.names_changed |= self.slot_names != names;
         self.slot_names = names;
     }
 
--- a/crates/core/src/rates/slots.rs
+++ b/crates/core/src/rates/slots.rs
@@ -67,7 +67,8 @@
                 peer.is_some_and(|peer| peer.incarnation == incarnation)
             });
         }
-        if slot_count_changed || slots_are_named {
+        if slot_count_changed || self.names_changed {
+            self.names_changed = false;
             for (id, limiter) in &mut self.limiters {
                 if let Some(workspace) = self.config.workspaces.get(id) {
                     limiter.split = Split::new(
--- a/crates/core/src/rates/split.rs
+++ b/crates/core/src/rates/split.rs
@@ -77,7 +77,7 @@
             .min(wanted)
             .clamp(1, u64::from(slot_count));
         let mut ranked: Vec<u16> = (0..slot_count).collect();
-        ranked.sort_by_key(|slot| {
+        ranked.sort_by_cached_key(|slot| {
             let number = slot.to_be_bytes();
             let name = slot_names.get(usize::from(*slot));
             let name = name.map_or(number.as_slice(), |name| name.as_str().as_bytes());
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -120,19 +120,17 @@
     /// A VM that joins or restarts uses its shares only after `ROSTER_PROPAGATION_DELAY`, when the
     /// other VMs have learned of it.
     pub(crate) fn view(&mut self, own: &VmId, now: MonoTime) -> RosterView {
-        let slot_of = |vm: &VmId| {
-            let index = self.vms.keys().position(|other| other == vm)?;
-            u16::try_from(index).ok()
-        };
-        let slots = slot_of(own).map(|slot| HeldSlot {
+        let own_slot = self.vms.keys().position(|vm| vm == own);
+        let own_slot = own_slot.and_then(|index| u16::try_from(index).ok());
+        let slots = own_slot.map(|slot| HeldSlot {
             slot,
             usable_from: self.usable_from.unwrap_or(now + ROSTER_PROPAGATION_DELAY),
         });
-        let peers = self.vms.iter().filter(|(vm, _)| *vm != own);
-        let peers = peers.map(|(vm, entry)| RosterPeer {
+        let peers = (0..).zip(&self.vms).filter(|(_, (vm, _))| *vm != own);
+        let peers = peers.map(|(slot, (vm, entry))| RosterPeer {
             vm: vm.clone(),
             incarnation: entry.incarnation,
-            slots: slot_of(vm).into_iter().collect(),
+            slots: vec![slot],
         });
         self.usable_from = slots.map(|held| held.usable_from);
         RosterView {
