Compute the homes of a group once for the check of its primary

Cause: each tick computed the homes of each group to rank this VM for replacing the primary. They are kept only once a statement of the group was dispatched, which never happens on a VM that forwards all of its statements: it computed them from all workspaces, and by a search for each VM of the roster, every 15 to 250 ms for each group. The cost grows with the fleet.

Change: the check keeps them too. No decision changes.

--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -142,6 +142,7 @@
         self.sample_when_read(now, id, actions);
         self.search_primary(now, id, actions);
         let pending_cause = self.failover_cause(now, id);
+        self.update_group_homes(id);
         let rank = self.own_rank(id);
         let store_is_lost = self.is_store_lost();
         let Some(group) = self.groups.get_mut(id) else {
