Spend a share of the rates after isolation only once the store has answered

An operator of a similar system saw a machine that had only been silent have its work taken over while it went on with it.

Cause: a VM that reaches neither the store nor another VM for 14 s stops spending its shares, because its record may be removed after 20 s. The first message of any VM ended that, although the record may have been removed by then, and a suspension ended it as well: a VM that was suspended for 25 s went on with its shares at once, and one that was isolated before a short suspension did too.

Change: the isolation lasts until the store or a relay answers, and the time of a suspension counts as time without contact. Until then statements of others are not accepted and own ones are refused as not run.

Tests: home_that_was_out_of_reach_for_long_... and home_that_was_suspended_for_long_... fail without the change (the home opens a connection). statements_of_a_restarted_vm_are_told_from_those_of_its_earlier_ process guards a comparison that no test noticed: it fails with the incarnation left out of it.

--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -66,7 +66,7 @@
         let max_wait = current.route.target_latency * MAX_TOKEN_WAIT_PERCENT / 100;
         // A statement that comes back from another VM may have used up its wait, but not its timeout.
         let deadline = (current.started_at + max_wait).max(now + MAX_TOKEN_WAIT);
-        if self.is_isolated(now) {
+        if self.is_isolated() {
             let cause = "neither the store nor another VM is in reach";
             return self.fail_current(now, caller, CallerError::Busy, cause, actions);
         }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -275,6 +275,7 @@
             self.startup_ends_at = None;
             self.rates.set_max_wait(MAX_TOKEN_WAIT);
         }
+        self.check_isolation(now);
         self.monitor_successor(now, actions);
         self.check_time_limits(now, actions);
         self.check_links(now, actions);
@@ -302,8 +303,7 @@
             health.heard_at = now;
         }
         self.relay.restart_timeouts(now);
-        self.successor_monitor = SuccessorMonitor::default();
-        self.successor_monitor.last_message_at = now;
+        self.restart_successor_monitor(now);
     }
 
     /// Makes all timeouts be checked at the next call.
--- a/crates/pool/src/remote.rs
+++ b/crates/pool/src/remote.rs
@@ -84,7 +84,7 @@
         if let Some(caller) = known {
             self.drop_remote_session(now, caller, actions);
         }
-        let is_serving = self.is_ready && self.stop.is_none() && !self.is_isolated(now);
+        let is_serving = self.is_ready && self.stop.is_none() && !self.is_isolated();
         if !is_serving || self.config.version < request.version {
             return self.send_forwarded_reply(&origin, ForwardedOutcome::NotAccepted, actions);
         }
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -58,6 +58,7 @@
         actions: &mut Vec<PoolAction>,
     ) {
         self.store_answered_at = answered_at;
+        self.successor_monitor.store_answered();
         if let Some(since) = self.store_lost_since.take() {
             let outage = now.since(since);
             actions.push(PoolAction::Report(Report::StoreBack { outage }));
--- a/crates/pool/src/successor_monitor.rs
+++ b/crates/pool/src/successor_monitor.rs
@@ -34,6 +34,7 @@
     next_ping_at: MonoTime,
     /// When a message of any other VM last arrived.
     pub(crate) last_message_at: MonoTime,
+    is_isolated: bool,
 }
 
 impl SuccessorMonitor {
@@ -43,6 +44,11 @@
             self.answered_at = now;
         }
     }
+
+    /// Ends the isolation of this VM, which the store or its relay has answered.
+    pub(crate) fn store_answered(&mut self) {
+        self.is_isolated = false;
+    }
 }
 
 impl Pool {
@@ -74,12 +80,36 @@
         self.send_peer(&vm, PoolMessage::Ping, actions);
     }
 
-    /// Returns whether this VM has been without contact to the store and to other VMs for so long
-    /// that its record may be removed soon.
-    pub(crate) fn is_isolated(&self, now: MonoTime) -> bool {
-        let is_long = |since: MonoTime| now.since(since) >= ISOLATION_TIMEOUT;
-        self.roster.len() > 1
-            && self.store_lost_since().is_some_and(is_long)
-            && is_long(self.successor_monitor.last_message_at)
+    /// Notes whether this VM has been without contact to the store and to other VMs for so long that
+    /// its record may be removed soon. Messages of other VMs do not tell whether it has been.
+    pub(crate) fn check_isolation(&mut self, now: MonoTime) {
+        if let Some(since) = self.store_lost_since() {
+            self.note_lost_contact(now, since);
+        }
+    }
+
+    /// Restarts the timeouts after the process was suspended. Other VMs may have removed the record
+    /// of this one in the meantime.
+    pub(crate) fn restart_successor_monitor(&mut self, now: MonoTime) {
+        let suspended_at = self.last_event();
+        let since = self.store_lost_since().unwrap_or(suspended_at);
+        self.note_lost_contact(now, since);
+        self.successor_monitor = SuccessorMonitor {
+            last_message_at: now,
+            is_isolated: self.successor_monitor.is_isolated,
+            ..SuccessorMonitor::default()
+        };
+    }
+
+    fn note_lost_contact(&mut self, now: MonoTime, store_lost_since: MonoTime) {
+        let latest_contact = store_lost_since.max(self.successor_monitor.last_message_at);
+        if self.roster.len() > 1 && now.since(latest_contact) >= ISOLATION_TIMEOUT {
+            self.successor_monitor.is_isolated = true;
+        }
+    }
+
+    /// Returns whether this VM may have lost its share of the rates.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.successor_monitor.is_isolated
     }
 }
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -13,6 +13,7 @@
 use lycheedoor_pool::CallerReply;
 use lycheedoor_pool::FleetRecord;
 use lycheedoor_pool::MemberCommand;
+use lycheedoor_pool::ObjectAnswer;
 use lycheedoor_pool::ObjectKind;
 use lycheedoor_pool::ObjectValue;
 use lycheedoor_pool::PoolAction;
@@ -425,3 +426,93 @@
     pair.entry.answer_all_commands(1);
     assert!(pair.is_done(caller));
 }
+
+/// Opens a transaction whose `BEGIN` the home has answered, and returns the statement after it, which
+/// the home has not received.
+fn held_back_statement(pair: &mut Pair) -> (CallerId, PoolMessage) {
+    let caller = pair.open_transaction();
+    pair.entry.query(caller, "WRITE x 2");
+    let is_message = |action: &mut PoolAction| matches!(action, PoolAction::SendPeer { .. });
+    let mut held = pair.entry.other_actions.extract_if(.., is_message);
+    let Some(PoolAction::SendPeer { message, .. }) = held.next() else {
+        panic!("no message");
+    };
+    drop(held);
+    (caller, message)
+}
+
+/// Guards against a restarted VM whose statements the home ignores, since the numbers of its earlier
+/// process were higher, or runs in the transaction of that process.
+#[test]
+fn statements_of_a_restarted_vm_are_told_from_those_of_its_earlier_process() {
+    let mut pair = Pair::new();
+    let (_, message) = held_back_statement(&mut pair);
+    let from_restarted = |message: PoolMessage| PoolEvent::PeerSent {
+        from: VmId::from(ENTRY),
+        incarnation: Incarnation(8),
+        message,
+    };
+    pair.home.event(from_restarted(message));
+    let sent = pair.home.links.values().flat_map(|link| &link.sent);
+    let is_write = |command: &&MemberCommand| matches!(command, MemberCommand::Forward { .. });
+    assert_eq!(sent.filter(is_write).count(), 0);
+
+    let mut restarted = PoolHarness::start_as(ENTRY, &[HOME], config(1));
+    restarted.advance(1_000);
+    let caller = restarted.open_session("primary-db");
+    restarted.query(caller, "WRITE x 3");
+    let is_message = |action: &mut PoolAction| matches!(action, PoolAction::SendPeer { .. });
+    for action in restarted.other_actions.extract_if(.., is_message) {
+        if let PoolAction::SendPeer { message, .. } = action {
+            pair.home.event(from_restarted(message));
+        }
+    }
+    pair.home.accept_links();
+    let sent = pair.home.links.values().flat_map(|link| &link.sent);
+    assert_eq!(sent.filter(is_write).count(), 1);
+}
+
+/// Guards against a home that spends its share of the rates after others may have taken it over: it
+/// has been out of reach for so long that its record may be gone.
+#[test]
+fn home_that_was_out_of_reach_for_long_accepts_no_statement_before_it_has_read_the_store() {
+    let mut pair = Pair::new();
+    let kind = ObjectKind::Members;
+    let answer = ObjectAnswer::Unavailable;
+    pair.home.event(PoolEvent::ObjectsRead { kind, answer });
+    let is_answered = false;
+    for _ in 0..40 {
+        pair.home.event(PoolEvent::StoreProbed { is_answered });
+        pair.home.advance(500);
+    }
+    pair.home.other_actions.clear();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    deliver(&mut pair.entry, ENTRY, &mut pair.home);
+    assert!(pair.home.links.is_empty());
+    let is_answered = true;
+    pair.home.event(PoolEvent::StoreProbed { is_answered });
+    deliver(&mut pair.home, HOME, &mut pair.entry);
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+}
+
+/// Guards against a home that spends its share of the rates after it was suspended for so long that
+/// others may have removed its record and taken the share over.
+#[test]
+fn home_that_was_suspended_for_long_accepts_no_statement_before_it_has_read_the_store() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.home.suspend(25_000);
+    pair.entry.query(caller, "WRITE x 1");
+    deliver(&mut pair.entry, ENTRY, &mut pair.home);
+    assert!(pair.home.links.is_empty());
+    deliver(&mut pair.home, HOME, &mut pair.entry);
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+    let is_answered = true;
+    pair.home.event(PoolEvent::StoreProbed { is_answered });
+    pair.entry.query(caller, "WRITE x 2");
+    pair.entry.answer_all_commands(2);
+    assert!(pair.is_done(caller));
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -292,6 +292,11 @@
         }
     }
 
+    /// Lets time pass in which the process of the pool does not run.
+    pub(crate) fn suspend(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+
     /// Opens a session with the key of the first workspace.
     pub(crate) fn open_session(&mut self, database: &str) -> CallerId {
         self.open_session_with_key(database, KEY)
