End a session that starts twice with its transaction, and count idle time from answers

Two observations of reading that were not traced until now.

A second Start on an open session, or one with a key that is not accepted, removed the session alone. Its connection stayed in the transaction and was never given back, and the statement at its home stayed open. Such a session now ends like one that its caller closes.

The idle time of a transaction counted from the last request instead of its answer, so a transaction could be ended as idle right after a long statement, although the caller had been idle for less than the limit.

--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -63,8 +63,12 @@
         let Some(session) = self.sessions.get_mut(&caller) else {
             return;
         };
-        if session.transaction.is_none() && session.current.is_none() {
-            self.active.remove(&caller);
+        match &mut session.transaction {
+            Some(open) if session.current.is_none() => open.used_at = now,
+            None if session.current.is_none() => {
+                self.active.remove(&caller);
+            }
+            _ => {}
         }
         if session.current.is_none()
             && let Some(request) = session.backlog.pop_front()
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -54,7 +54,7 @@
         }
         match request {
             CallerRequest::Start { database, key } => {
-                self.start_session(caller, database, key, actions)
+                self.start_session(now, caller, database, key, actions)
             }
             CallerRequest::Query {
                 id,
@@ -126,6 +126,7 @@
 
     fn start_session(
         &mut self,
+        now: MonoTime,
         caller: CallerId,
         database: String,
         key: String,
@@ -139,8 +140,7 @@
             },
             Err((error, text)) => {
                 reject(caller, error, text, actions);
-                self.sessions.remove(&caller);
-                return actions.push(PoolAction::CloseCaller { caller });
+                return self.end_session(now, caller, actions);
             }
         };
         let Some(session) = self.sessions.get_mut(&caller) else {
@@ -148,8 +148,7 @@
         };
         if session.login.is_some() {
             reject(caller, CallerError::Malformed, "session is open", actions);
-            self.sessions.remove(&caller);
-            return actions.push(PoolAction::CloseCaller { caller });
+            return self.end_session(now, caller, actions);
         }
         session.login = Some(login);
         let reply = CallerReply::Started;
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -11,6 +11,7 @@
 use lycheedoor_core::types::WorkspaceId;
 use lycheedoor_pool::CallerError;
 use lycheedoor_pool::CallerReply;
+use lycheedoor_pool::CallerRequest;
 use lycheedoor_pool::FleetRecord;
 use lycheedoor_pool::MemberCommand;
 use lycheedoor_pool::ObjectAnswer;
@@ -516,3 +517,24 @@
     pair.entry.answer_all_commands(2);
     assert!(pair.is_done(caller));
 }
+
+/// Guards against a second start of a session that leaves its transaction open at the member.
+#[test]
+fn second_start_of_a_session_ends_its_transaction() {
+    let mut harness = PoolHarness::new();
+    let caller = harness.open_session("primary-db");
+    harness.query(caller, "BEGIN");
+    harness.query(caller, "WRITE x 1");
+    harness.accept_links();
+    while let Some((link, _)) = harness.take_command(PRIMARY) {
+        harness.succeed(link, TransactionState::Open, 1);
+    }
+    assert!(has_open_transaction(&harness));
+    let request = CallerRequest::Start {
+        database: "primary-db".into(),
+        key: support::KEY.into(),
+    };
+    harness.event(PoolEvent::CallerSent { caller, request });
+    let is_rolled_back = harness.links.is_empty() || !has_open_transaction(&harness);
+    assert!(is_rolled_back, "the connection stays in the transaction");
+}
--- a/crates/pool/tests/statements.rs
+++ b/crates/pool/tests/statements.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use lycheedoor_pool::CallerError;
 use lycheedoor_pool::CallerReply;
 use lycheedoor_pool::MemberCommand;
@@ -271,3 +273,51 @@
         Some(CallerError::Aborted)
     );
 }
+
+/// Guards against a session read that misses the own commit, where the group's samples are older, as
+/// after a commit that ran at another VM.
+#[test]
+fn session_read_demands_the_own_commit_that_is_newer_than_every_sample() {
+    let mut harness = PoolHarness::new();
+    let caller = harness.open_session("session-db");
+    harness.query(caller, "WRITE x 1");
+    harness.answer_all_commands(77);
+    // A new primary has not received the commits of the old one beyond this position.
+    harness.sample_primary_position(50);
+    harness.advance(600);
+    harness.sample_primary_position(51);
+    harness.query(caller, "READ x");
+    harness.accept_links();
+    let mut sent = harness.links.values().flat_map(|link| &link.sent);
+    let required = sent.find_map(|command| match command {
+        MemberCommand::Forward {
+            required_position, ..
+        } => Some(*required_position),
+        _ => None,
+    });
+    assert_eq!(required, Some(Some(position(77))));
+}
+
+/// Guards against a transaction that is ended as idle right after a long statement: only the time
+/// since the answer counts.
+#[test]
+fn idle_time_of_a_transaction_counts_from_the_latest_answer() {
+    let mut config = support::config(1);
+    config.transaction_idle_limit = Some(Duration::from_millis(500));
+    let mut harness = PoolHarness::start(&[], config);
+    let caller = harness.open_session("primary-db");
+    harness.query(caller, "BEGIN");
+    harness.query(caller, "WRITE x 1");
+    harness.accept_links();
+    let (begin, _) = harness.take_command(PRIMARY).unwrap();
+    harness.succeed(begin, TransactionState::Open, 1);
+    harness.advance(400);
+    let (link, _) = harness.take_command(PRIMARY).unwrap();
+    harness.succeed(link, TransactionState::Open, 1);
+    assert!(is_done(harness.last_reply(caller)));
+    harness.advance(400);
+    harness.query(caller, "COMMIT");
+    assert!(harness.take_command(PRIMARY).is_some());
+    harness.succeed(link, TransactionState::Idle, 2);
+    assert!(is_done(harness.last_reply(caller)));
+}
