Run a forwarded statement elsewhere that its home has certainly not received

Callers got "outcome unknown" for writes that had not run, so they could not repeat them.

The sender waited for the timeout of the statement. Likewise, a follower of a starting relay waited for 500 ms. And a connection that is refused, or not accepted in time, was treated like one that is lost: its writes may have run, although nothing was sent.

Change: an answer to a VM whose address is not known goes into the response of the message that is being handled. PeerLost names the statements that waited for a connection that was never established; they run elsewhere, also within PeerLost of a connection that did carry earlier ones. Connections are given up after 250 ms without being accepted, instead of at the next message after a second.

Tests: starting_home_answers_that_it_has_not_run_a_statement and write_that_was_not_sent_to_its_home_runs_ elsewhere fail without the change. The randomized fleet loses half of its connections before they are established: no write runs twice.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -210,6 +210,7 @@
                 address,
                 message,
             } => self.send_peer(cx, to, address, &message),
+            PoolAction::AnswerPeer { to, message } => self.answer_peer(&to, &message),
             PoolAction::SetReady(is_ready) => self.is_ready = is_ready,
             PoolAction::Report(report) => {
                 let is_done = matches!(report, Report::StatementDone { .. });
@@ -254,6 +255,7 @@
         let lag = now.since(self.pool.next_deadline());
         self.load.record_timer_lag(lag);
         self.handle_event(cx, PoolEvent::DeadlineReached);
+        self.close_overdue_peers(cx);
         self.write_log();
         let now = self.now(cx.now());
         if now >= self.next_upkeep_at {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::RequestId;
 use lycheedoor_core::types::VmId;
 use lycheedoor_net::ReadOutcome;
 use lycheedoor_net::Socket;
@@ -34,8 +35,9 @@
 /// Largest amount of unsent output for a peer; above it the connection is closed.
 const MAX_PENDING_OUTPUT_BYTES: usize = 1024 * 1024;
 
-/// Time for a peer to accept a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for a peer to accept a connection. It allows for the longest round trip between regions and
+/// is half of the time after which statements are no longer forwarded to a silent peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A connection to another VM.
 pub(crate) struct OutgoingPeer {
@@ -45,6 +47,8 @@
     codec: PeerClientCodec,
     is_connected: bool,
     opened_at: MonoTime,
+    /// The forwarded statements that wait for the connection to be established.
+    unsent: Vec<RequestId>,
 }
 
 /// A connection from another VM.
@@ -75,24 +79,19 @@
             message,
         };
         if let Some(pending) = &mut self.pending_response
-            && pending.to == to
-            && pending.response.is_empty()
+            && pending.accepts_message_to(&to)
         {
-            match encode_answer(&mut pending.response, &envelope) {
-                Ok(()) => count_sent(&mut self.load, pending.response.len()),
-                Err(error) => warn_peer_malformed(&error),
-            }
-            return;
+            return pending.set_message(&envelope, &mut self.load);
         }
         let bytes = match encode_message(&envelope) {
             Ok(bytes) => bytes,
             Err(error) => return warn_peer_malformed(&error),
         };
         let now = self.now(cx.now());
-        let is_stale = self.outgoing_peers.get(&to).is_some_and(|peer| {
-            let is_overdue = !peer.is_connected && now.since(peer.opened_at) > CONNECT_TIMEOUT;
-            peer.address != address || is_overdue
-        });
+        let is_stale = self
+            .outgoing_peers
+            .get(&to)
+            .is_some_and(|peer| peer.address != address || peer.is_overdue(now));
         if is_stale {
             self.peer_lost(cx, &to, "connection timed out or address changed");
         }
@@ -107,7 +106,10 @@
             });
             let socket = match socket {
                 Ok(socket) => socket,
-                Err(error) => return self.peer_lost(cx, &to, &error.to_string()),
+                Err(error) => {
+                    let unsent = Vec::from_iter(message.forwarded_statement());
+                    return self.report_peer_lost(cx, &to, unsent, &error.to_string());
+                }
             };
             let peer = OutgoingPeer {
                 number,
@@ -116,6 +118,7 @@
                 codec: PeerClientCodec::default(),
                 is_connected: false,
                 opened_at: now,
+                unsent: Vec::new(),
             };
             self.outgoing_peers.insert(to.clone(), peer);
         }
@@ -127,16 +130,54 @@
         }
         count_sent(&mut self.load, bytes.len());
         peer.socket.pending_output.extend_from_slice(&bytes);
+        if !peer.is_connected {
+            peer.unsent.extend(message.forwarded_statement());
+        }
         if peer.is_connected && peer.socket.flush().is_err() {
             self.peer_lost(cx, &to, "connection lost");
         }
     }
 
+    /// Answers the message of another VM whose address is not known.
+    pub(crate) fn answer_peer(&mut self, to: &VmId, message: &PoolMessage) {
+        let envelope = EnvelopeView {
+            from: &self.vm,
+            incarnation: self.pool.incarnation(),
+            clock: self.hybrid_clock.tick(Self::wall_time()),
+            message,
+        };
+        match &mut self.pending_response {
+            Some(pending) if pending.accepts_message_to(to) => {
+                pending.set_message(&envelope, &mut self.load);
+            }
+            _ => warn_peer_unreachable(to, "address is not known"),
+        }
+    }
+
     /// Closes the connection to another VM. The pool is told, since messages may be lost.
     fn peer_lost(&mut self, cx: CX![], vm: &VmId, cause: &str) {
-        self.outgoing_peers.remove(vm);
+        let peer = self.outgoing_peers.remove(vm);
+        let unsent = peer.map_or_else(Vec::new, |peer| peer.unsent);
+        self.report_peer_lost(cx, vm, unsent, cause);
+    }
+
+    fn report_peer_lost(&mut self, cx: CX![], vm: &VmId, unsent: Vec<RequestId>, cause: &str) {
         warn_peer_unreachable(vm, cause);
-        self.handle_event(cx, PoolEvent::PeerLost { vm: vm.clone() });
+        let vm = vm.clone();
+        self.handle_event(cx, PoolEvent::PeerLost { vm, unsent });
+    }
+
+    /// Closes the connections that peers have not accepted in time.
+    pub(crate) fn close_overdue_peers(&mut self, cx: CX![]) {
+        let now = self.now(cx.now());
+        let overdue = self
+            .outgoing_peers
+            .iter()
+            .filter(|(_, peer)| peer.is_overdue(now));
+        let overdue: Vec<VmId> = overdue.map(|(vm, _)| vm.clone()).collect();
+        for vm in overdue {
+            self.peer_lost(cx, &vm, "connection timed out");
+        }
     }
 
     fn outgoing_peer_ready(&mut self, cx: CX![], number: u64, ready: Ready) {
@@ -256,7 +297,24 @@
     }
 }
 
+impl PendingResponse {
+    fn accepts_message_to(&self, vm: &VmId) -> bool {
+        self.to == *vm && self.response.is_empty()
+    }
+
+    fn set_message(&mut self, envelope: &EnvelopeView<'_, PoolMessage>, load: &mut Load) {
+        match encode_answer(&mut self.response, envelope) {
+            Ok(()) => count_sent(load, self.response.len()),
+            Err(error) => warn_peer_malformed(&error),
+        }
+    }
+}
+
 impl OutgoingPeer {
+    fn is_overdue(&self, now: MonoTime) -> bool {
+        !self.is_connected && now.since(self.opened_at) > CONNECT_TIMEOUT
+    }
+
     /// Connects, writes and reads as far as possible, and appends the messages that arrived in
     /// responses to `received`.
     fn progress(
@@ -266,7 +324,10 @@
     ) -> Result<(), String> {
         if !self.is_connected {
             match self.socket.finish_connect() {
-                Ok(true) => self.is_connected = true,
+                Ok(true) => {
+                    self.is_connected = true;
+                    self.unsent.clear();
+                }
                 Ok(false) => return Ok(()),
                 Err(error) => return Err(error.to_string()),
             }
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -9,6 +9,7 @@
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::Position;
+use lycheedoor_core::types::RequestId;
 use lycheedoor_core::types::VmId;
 use lycheedoor_core::types::WorkspaceId;
 
@@ -146,6 +147,9 @@
     PeerLost {
         /// The VM that cannot be reached.
         vm: VmId,
+        /// The forwarded statements that have certainly not arrived, because the connection was
+        /// never established.
+        unsent: Vec<RequestId>,
     },
     /// The process has been asked to shut down gracefully.
     StopRequested,
@@ -267,6 +271,14 @@
         /// The message to send.
         message: PoolMessage,
     },
+    /// Answer the message of another VM that is being handled. The address of that VM is not known,
+    /// since this one has not read the records of the fleet yet, or the VM has left.
+    AnswerPeer {
+        /// The VM that gets the message.
+        to: VmId,
+        /// The message to send.
+        message: PoolMessage,
+    },
     /// Report to the load balancer whether this VM accepts new callers.
     SetReady(bool),
     /// Write a report to the log and the metrics.
--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -293,11 +293,23 @@
     }
 
     /// Handles the loss of the connection to another VM: statements there may not have arrived, and
-    /// their results may be lost.
-    pub(crate) fn peer_lost(&mut self, now: MonoTime, vm: &VmId, actions: &mut Vec<PoolAction>) {
+    /// their results may be lost. Those in `unsent` have not arrived and run elsewhere.
+    pub(crate) fn peer_lost(
+        &mut self,
+        now: MonoTime,
+        vm: &VmId,
+        unsent: &[RequestId],
+        actions: &mut Vec<PoolAction>,
+    ) {
         self.note_peer_unavailable(now, vm, "connection lost", actions);
         for caller in self.callers_at(vm) {
-            self.recover_statement(now, caller, true, actions);
+            let session = self.sessions.get(&caller);
+            let current = session.and_then(|session| session.current.as_ref());
+            if current.is_some_and(|current| unsent.contains(&current.request)) {
+                self.forward_again(now, caller, actions);
+            } else {
+                self.recover_statement(now, caller, true, actions);
+            }
         }
     }
 
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -74,3 +74,13 @@
     /// The sender does not pass on what it reads from the store.
     StoreNotRead,
 }
+
+impl PoolMessage {
+    /// Returns the number of the statement that the message forwards, if it forwards one.
+    pub fn forwarded_statement(&self) -> Option<RequestId> {
+        match self {
+            Self::Forward(request) => Some(request.request),
+            _ => None,
+        }
+    }
+}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -204,9 +204,9 @@
                 incarnation,
                 message,
             } => self.peer_sent(now, &from, incarnation, message, actions),
-            PoolEvent::PeerLost { vm } => {
+            PoolEvent::PeerLost { vm, unsent } => {
                 self.relay_connection_lost(now, &vm, actions);
-                self.peer_lost(now, &vm, actions);
+                self.peer_lost(now, &vm, &unsent, actions);
             }
             PoolEvent::StopRequested => self.stop_requested(now, actions),
             PoolEvent::DeadlineReached => {}
@@ -407,13 +407,15 @@
     }
 
     pub(crate) fn send_peer(&self, to: &VmId, message: PoolMessage, actions: &mut Vec<PoolAction>) {
-        if let Some(peer) = self.roster.get(to) {
-            actions.push(PoolAction::SendPeer {
-                to: to.clone(),
+        let to = to.clone();
+        actions.push(match self.roster.get(&to) {
+            Some(peer) => PoolAction::SendPeer {
+                to,
                 address: peer.address,
                 message,
-            });
-        }
+            },
+            None => PoolAction::AnswerPeer { to, message },
+        });
     }
 
     pub(crate) fn send_all_peers(&self, message: &PoolMessage, actions: &mut Vec<PoolAction>) {
--- a/crates/pool/tests/fleet/mod.rs
+++ b/crates/pool/tests/fleet/mod.rs
@@ -377,7 +377,7 @@
                 }
             }
             PoolAction::Send { link, command } => self.answer(vm, link, &command),
-            PoolAction::SendPeer { to, message, .. } => {
+            PoolAction::SendPeer { to, message, .. } | PoolAction::AnswerPeer { to, message } => {
                 if let PoolMessage::Rates(message) = &message {
                     self.counts.rate_messages += 1;
                     let bytes = rmp_serde::to_vec(message).unwrap().len();
@@ -402,7 +402,11 @@
                 self.events.remove(&number);
             }
             let vm = vm_id(u32::try_from(to).unwrap());
-            return self.schedule(PEER_DELAY, from, PoolEvent::PeerLost { vm });
+            // Some connections are lost before they are established.
+            let is_unsent = self.below(2) == 0;
+            let unsent = message.forwarded_statement().filter(|_| is_unsent);
+            let unsent = Vec::from_iter(unsent);
+            return self.schedule(PEER_DELAY, from, PoolEvent::PeerLost { vm, unsent });
         }
         if self.is_chosen(self.faults.silent_peers_per_mille) {
             let until = self.now + Duration::from_secs(1);
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -79,7 +79,8 @@
 
     fn lose_home(&mut self) {
         let vm = VmId::from(HOME);
-        self.entry.event(PoolEvent::PeerLost { vm });
+        let unsent = Vec::new();
+        self.entry.event(PoolEvent::PeerLost { vm, unsent });
     }
 
     fn error(&self, caller: CallerId) -> Option<CallerError> {
@@ -100,9 +101,16 @@
 fn deliver(from: &mut PoolHarness, name: &str, to: &mut PoolHarness) -> bool {
     let messages: Vec<PoolMessage> = from
         .other_actions
-        .extract_if(.., |action| matches!(action, PoolAction::SendPeer { .. }))
+        .extract_if(.., |action| {
+            matches!(
+                action,
+                PoolAction::SendPeer { .. } | PoolAction::AnswerPeer { .. }
+            )
+        })
         .filter_map(|action| match action {
-            PoolAction::SendPeer { message, .. } => Some(message),
+            PoolAction::SendPeer { message, .. } | PoolAction::AnswerPeer { message, .. } => {
+                Some(message)
+            }
             _ => None,
         })
         .collect();
@@ -518,6 +526,38 @@
     assert!(pair.is_done(caller));
 }
 
+/// Guards against a caller that waits for a home that is starting: it cannot reach the sender, whose
+/// record it has not read, and the outcome of the write would be unknown although it has not run.
+#[test]
+fn starting_home_answers_that_it_has_not_run_a_statement() {
+    let mut pair = Pair::new();
+    pair.home = PoolHarness::start_unloaded(HOME);
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.deliver();
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+}
+
+/// Guards against an unknown outcome of a write whose home refuses connections, as while it restarts:
+/// the write has not been sent.
+#[test]
+fn write_that_was_not_sent_to_its_home_runs_elsewhere() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    let messages = pair.entry.other_actions.iter();
+    let unsent = messages.filter_map(|action| match action {
+        PoolAction::SendPeer { message, .. } => message.forwarded_statement(),
+        _ => None,
+    });
+    let unsent = unsent.collect();
+    let vm = VmId::from(HOME);
+    pair.entry.event(PoolEvent::PeerLost { vm, unsent });
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+}
+
 /// Guards against a second start of a session that leaves its transaction open at the member.
 #[test]
 fn second_start_of_a_session_ends_its_transaction() {
--- a/crates/pool/tests/store_fleet/mod.rs
+++ b/crates/pool/tests/store_fleet/mod.rs
@@ -337,7 +337,7 @@
                 let event = PoolEvent::RecordWritten { name, outcome };
                 self.schedule(STORE_DELAY, vm, Due::Event(event));
             }
-            PoolAction::SendPeer { to, message, .. } => {
+            PoolAction::SendPeer { to, message, .. } | PoolAction::AnswerPeer { to, message } => {
                 let to: usize = to.as_str()[3..].parse().unwrap();
                 if self.below(100) < self.lost_peers_percent || !self.vms[to].is_running {
                     return;
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -161,6 +161,13 @@
 
     /// Creates the same pool on the VM of the given name.
     pub(crate) fn start_as(vm: &str, peers: &[&str], config: PoolConfig) -> Self {
+        let mut harness = Self::start_unloaded(vm);
+        harness.load(vm, peers, config);
+        harness
+    }
+
+    /// Creates a pool that has not read anything from the store.
+    pub(crate) fn start_unloaded(vm: &str) -> Self {
         let settings = PoolSettings {
             vm: VmId::from(vm),
             incarnation: Incarnation(7),
@@ -179,16 +186,20 @@
             next_caller: 0,
         };
         harness.event(PoolEvent::DeadlineReached);
+        harness
+    }
+
+    fn load(&mut self, vm: &str, peers: &[&str], config: PoolConfig) {
         let value = ObjectValue::Config(Rc::new(config));
-        harness.load_objects(ObjectKind::Configuration, vec![("main".to_owned(), value)]);
+        self.load_objects(ObjectKind::Configuration, vec![("main".to_owned(), value)]);
         let members = [
             member(PRIMARY, true),
             member("m2", false),
             member("m3", false),
         ];
         let members = members.map(|entry| (entry.id.to_string(), ObjectValue::Member(entry)));
-        harness.load_objects(ObjectKind::Members, members.into());
-        harness.load_objects(ObjectKind::Evacuations, Vec::new());
+        self.load_objects(ObjectKind::Members, members.into());
+        self.load_objects(ObjectKind::Evacuations, Vec::new());
         let names = std::iter::once(vm).chain(peers.iter().copied());
         let records = names.map(|name| {
             let record = FleetRecord::Vm {
@@ -199,11 +210,10 @@
             };
             (format!("vm.{name}"), ObjectValue::Fleet(record))
         });
-        harness.load_objects(ObjectKind::Fleet, records.collect());
-        harness.advance(500);
-        assert!(harness.other_actions.contains(&PoolAction::SetReady(true)));
-        harness.other_actions.clear();
-        harness
+        self.load_objects(ObjectKind::Fleet, records.collect());
+        self.advance(500);
+        assert!(self.other_actions.contains(&PoolAction::SetReady(true)));
+        self.other_actions.clear();
     }
 
     /// Answers the first list call for a kind of object with all objects in one page.
