Place homes in the data centre of the primary, and shorten the heads of messages

Each workspace has its home on one of three VMs that hold its rate, in the same order for all workspaces of a group, wherever the primary is. So most statements crossed data centres twice. A message to another VM is often shorter than the HTTP head in front of it: content type and length of empty bodies were always stated.

Change: among the VMs that hold a share of the workspace's rate, one in the data centre of the primary comes first. All VMs know the primary from the store; while their views differ, each home has its own share, so no rate is exceeded. Requests without content, and responses 204, have no content fields, and messages between VMs do not state their type, which is always the same.

Test: home_is_in_the_data_centre_of_the_primary_if_it_holds_a_share_there fails without the order.

--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -2,7 +2,10 @@
 
 use crate::message::Method;
 
-/// Appends a request to `out`.
+/// The status of a response that has no content, not even an empty one.
+const NO_CONTENT: u16 = 204;
+
+/// Appends a request to `out`. Without a content type the request does not state one.
 pub fn encode_request(
     out: &mut Vec<u8>,
     method: Method,
@@ -24,12 +27,11 @@
     header_fields: &[(&str, &str)],
     body: &[u8],
 ) {
-    let length = body.len();
-    let head = format!(
-        "{method} {target} HTTP/1.1\r\nhost: -\r\ncontent-type: {content_type}\r\n\
-         content-length: {length}\r\n"
-    );
+    let head = format!("{method} {target} HTTP/1.1\r\nhost: -\r\n");
     out.extend_from_slice(head.as_bytes());
+    if !body.is_empty() || matches!(method, Method::Post | Method::Put) {
+        push_content_fields(out, content_type, body);
+    }
     for (name, value) in header_fields {
         out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
     }
@@ -37,18 +39,24 @@
     out.extend_from_slice(body);
 }
 
-/// Appends a response to `out`.
+/// Appends a response to `out`. Without a content type the response does not state one.
 pub fn encode_response(out: &mut Vec<u8>, status: u16, content_type: &str, body: &[u8]) {
-    let length = body.len();
     let phrase = reason_phrase(status);
-    let head = format!(
-        "HTTP/1.1 {status} {phrase}\r\ncontent-type: {content_type}\r\n\
-         content-length: {length}\r\n\r\n"
-    );
-    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(format!("HTTP/1.1 {status} {phrase}\r\n").as_bytes());
+    if status != NO_CONTENT {
+        push_content_fields(out, content_type, body);
+    }
+    out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body);
 }
 
+fn push_content_fields(out: &mut Vec<u8>, content_type: &str, body: &[u8]) {
+    if !content_type.is_empty() {
+        out.extend_from_slice(format!("content-type: {content_type}\r\n").as_bytes());
+    }
+    out.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+}
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -15,7 +15,8 @@
 use crate::MESSAGE_LIMIT_BYTES;
 
 const PATH: &str = "/peer";
-const CONTENT_TYPE: &str = "application/msgpack";
+/// Not stated: all bodies have the same type, and a message is hardly longer than the field.
+const CONTENT_TYPE: &str = "";
 const OK: u16 = 200;
 const NO_CONTENT: u16 = 204;
 const BAD_REQUEST: u16 = 400;
--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -12,6 +12,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use lycheedoor_core::types::DataCentreId;
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
@@ -179,10 +180,21 @@
         let mut homes: SmallVec<[VmId; 4]> = vms.filter(accepts_forwarded).cloned().collect();
         let weight =
             |vm: &VmId| rendezvous_weight(&[group.as_str().as_bytes(), vm.as_str().as_bytes()]);
-        homes.sort_by_cached_key(|vm| Reverse(weight(vm)));
+        let primary = self.primary_data_centre(group);
+        let is_near_primary = |vm: &VmId| {
+            let entry = self.roster.get(vm);
+            primary.is_some() && entry.and_then(|entry| entry.data_centre.as_ref()) == primary
+        };
+        homes.sort_by_cached_key(|vm| Reverse((is_near_primary(vm), weight(vm))));
         homes
     }
 
+    fn primary_data_centre(&self, group: &GroupId) -> Option<&DataCentreId> {
+        let group = self.groups.get(group)?;
+        let primary = group.members.get(group.primary.as_ref()?)?;
+        Some(&primary.entry.data_centre)
+    }
+
     /// Computes the homes of a group unless they are known.
     pub(crate) fn update_group_homes(&mut self, group: &GroupId) {
         if !self.homes_by_group.contains_key(group) {
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -191,6 +191,7 @@
             group.remove_member(now, member);
         }
         if let Some(evidence) = group.update_primary(now) {
+            self.homes_by_group.remove(id);
             actions.push(PoolAction::Report(Report::PrimaryChanged {
                 group: id.clone(),
                 member: group.primary.clone(),
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::DataCentreId;
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::VmId;
 use lycheedoor_core::types::WorkspaceId;
@@ -526,6 +527,38 @@
     assert!(pair.is_done(caller));
 }
 
+/// Guards against statements that cross data centres twice: to their home and from there to the
+/// primary.
+#[test]
+fn home_is_in_the_data_centre_of_the_primary_if_it_holds_a_share_there() {
+    let mut harness = PoolHarness::start_as(HOME, &[ENTRY], config(1));
+    harness.advance(1_000);
+    let south = DataCentreId::from("south");
+    let record = FleetRecord::Vm {
+        incarnation: Incarnation(7),
+        address: support::peer_address(),
+        accepts_forwarded: true,
+        data_centre: Some(south.clone()),
+    };
+    let name = format!("vm.{ENTRY}");
+    let record = Some(ObjectValue::Fleet(record));
+    harness.change_object(ObjectKind::Fleet, &name, record);
+    let mut primary = support::member("m2", true);
+    primary.data_centre = south;
+    let entry = Some(ObjectValue::Member(primary));
+    harness.change_object(ObjectKind::Members, "m2", entry);
+    harness.other_actions.clear();
+    let caller = harness.open_session("primary-db");
+    harness.query(caller, "WRITE x 1");
+    let is_forward = |action: &PoolAction| match action {
+        PoolAction::SendPeer { to, message, .. } => {
+            *to == VmId::from(ENTRY) && message.forwarded_statement().is_some()
+        }
+        _ => false,
+    };
+    assert!(harness.other_actions.iter().any(is_forward));
+}
+
 /// Guards against a caller that waits for a home that is starting: it cannot reach the sender, whose
 /// record it has not read, and the outcome of the write would be unknown although it has not run.
 #[test]
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -483,6 +483,6 @@
     }
 }
 
-fn peer_address() -> SocketAddr {
+pub(crate) fn peer_address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 7_560))
 }
