Start token buckets with a third of the tolerated excess

Load: the seconds after all VMs have lost power or restarted. Callers return at once with what they could not send, and the buckets of all VMs are empty.

Change: the buckets of a VM that starts hold its part of a third of what the platform tolerates beyond a rate (quotaSlack), so that even three starts of all VMs within the time over which rates are measured stay within it. The program that is not told of a tolerance starts with empty buckets as before. Slots that a VM gets later, as when others leave, bring no tokens.

Ruled out: waiting longer. As many statements are served then, but later; and admission in the order of arrival makes every statement late (late_statements_do_not_delay_one_that_can_be_in_time).

Tests: callers_that_return_after_a_start_of_all_vms_use_a_third_of_the_tolerated_excess fails before; change_of_the_roster_adds_no_tokens fails if each change of the slots adds them.

--- a/crates/core/src/rates/bucket.rs
+++ b/crates/core/src/rates/bucket.rs
@@ -152,6 +152,11 @@
         self.level = self.level.saturating_sub(amount);
     }
 
+    /// Adds tokens, as far as they fit.
+    pub(crate) fn add(&mut self, amount: u64) {
+        self.level = self.level.saturating_add(amount).min(self.capacity());
+    }
+
     /// Drops all tokens; what is lent stays reserved.
     pub(crate) fn clear(&mut self) {
         self.level = 0;
--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -96,6 +96,9 @@
     /// The slots that the roster assigns to this VM, and when each becomes usable.
     held_slots: Vec<(u16, MonoTime)>,
     usable_slots: BTreeSet<u16>,
+    /// The tokens of each workspace with which the buckets of all VMs together begin.
+    start_tokens: u32,
+    has_started: bool,
     slot_count: u16,
     /// The names of the slots by number; empty if they are known by number only.
     slot_names: Vec<VmId>,
@@ -134,6 +137,8 @@
             max_wait: MAX_TOKEN_WAIT,
             held_slots: Vec::new(),
             usable_slots: BTreeSet::new(),
+            start_tokens: 0,
+            has_started: false,
             slot_count: 0,
             slot_names: Vec::new(),
             names_changed: false,
@@ -158,6 +163,13 @@
         self.max_wait = max_wait;
     }
 
+    /// Sets how many tokens of each workspace the buckets of all VMs together hold after their start;
+    /// the default is 0. A VM that starts gets the part of its first slots. Requests may exceed a
+    /// limit by this number each time all VMs restart.
+    pub fn set_start_tokens(&mut self, tokens: u32) {
+        self.start_tokens = tokens;
+    }
+
     /// Sets how rates are distributed over the slots; the default is [`RateDistribution::Spread`].
     /// All VMs must use the same distribution.
     pub fn set_distribution(&mut self, distribution: RateDistribution) {
--- a/crates/core/src/rates/slots.rs
+++ b/crates/core/src/rates/slots.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::rates::NANOTOKENS_PER_TOKEN;
 use crate::rates::Rates;
 use crate::rates::RatesAction;
 use crate::rates::last_seq;
@@ -16,7 +17,8 @@
 use crate::types::WorkspaceId;
 
 impl Rates {
-    /// Starts to use the slots that have become usable, with empty buckets.
+    /// Starts to use the slots that have become usable. Their buckets are empty except at the start
+    /// of the process.
     pub(crate) fn activate_due_slots(&mut self, now: MonoTime) {
         let mut due = self.held_slots.iter().filter(|slot| slot.1 <= now);
         if due.any(|slot| !self.usable_slots.contains(&slot.0)) {
@@ -24,6 +26,22 @@
             let usable = due.map(|slot| slot.0).collect();
             self.advance(now);
             self.set_usable_slots(now, usable, false);
+            self.add_start_tokens();
+        }
+    }
+
+    /// Adds the tokens with which the buckets begin, when the first slots become usable.
+    fn add_start_tokens(&mut self) {
+        if self.usable_slots.is_empty() || std::mem::replace(&mut self.has_started, true) {
+            return;
+        }
+        for (id, limiter) in &mut self.limiters {
+            let rate = self.config.workspaces.get(id);
+            let rate = rate.map_or(0, |workspace| u64::from(workspace.rate_per_s) * 1_000);
+            let share = limiter.split.sum(self.usable_slots.iter().copied());
+            let tokens = u64::from(self.start_tokens) * NANOTOKENS_PER_TOKEN;
+            let part = u128::from(tokens) * u128::from(share.refill_rate) / u128::from(rate.max(1));
+            limiter.bucket.add(u64::try_from(part).unwrap_or(tokens));
         }
     }
 
@@ -90,6 +108,7 @@
         } else {
             self.set_usable_slots(now, usable, numbers_changed);
         }
+        self.add_start_tokens();
         self.check_lease(now, actions);
     }
 
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -53,6 +53,10 @@
 /// as frequent. A longer gap means that the process was suspended or got no processor time.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(750);
 
+/// How often all VMs may start in a short time before the tokens with which their buckets begin exceed
+/// what is tolerated. They serve the callers that return at once after all VMs have lost power.
+const STARTS_WITHIN_RATE_SLACK: u32 = 3;
+
 /// The properties of the VM that a pool runs on.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -68,6 +72,8 @@
     pub stop_grace: Duration,
     /// How long keys are accepted after the last answer of the store; `None` without a limit.
     pub key_ttl: Option<Duration>,
+    /// How many operations of a workspace beyond its rate and burst are tolerated in a short time.
+    pub rate_slack: u32,
 }
 
 /// The pool of one VM: a state machine that turns events into actions.
@@ -124,6 +130,7 @@
         rates.set_distribution(RateDistribution::Concentrated {
             rate_per_slot: RATE_PER_HOME_PER_S,
         });
+        rates.set_start_tokens(settings.rate_slack / STARTS_WITHIN_RATE_SLACK);
         Self {
             settings,
             config: Rc::default(),
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -45,6 +45,7 @@
         peer_address: address(vm),
         stop_grace: Duration::from_secs(6),
         key_ttl: None,
+        rate_slack: 0,
     }
 }
 
--- a/crates/pool/tests/rates.rs
+++ b/crates/pool/tests/rates.rs
@@ -206,3 +206,67 @@
         "{refused_at_once} of 200 statements refused at once"
     );
 }
+
+/// Returns how many statements of a workspace a VM serves at once.
+fn served_at_once(harness: &mut PoolHarness) -> usize {
+    let mut is_done = |_: &usize| {
+        let caller = harness.open_session("primary-db");
+        let reply = write_and_serve(harness, caller);
+        matches!(reply, Some(CallerReply::Done { .. }))
+    };
+    (0..30).filter(|number| is_done(number)).count()
+}
+
+/// Starts a VM that forwards no statements.
+fn start_with_slack(vm: &str, peers: &[&str]) -> PoolHarness {
+    let mut limited = config(1);
+    // Hardly a token accrues during the test.
+    let rule = RateRule {
+        per_s: 1,
+        burst: 60,
+    };
+    limited.rates.insert(WorkspaceId::from("acme"), rule);
+    let mut harness = PoolHarness::start_with_rate_slack(vm, peers, limited, 20);
+    for peer in peers {
+        let record = Some(ObjectValue::Fleet(record_without_forwarding()));
+        harness.change_object(ObjectKind::Fleet, &format!("vm.{peer}"), record);
+    }
+    harness
+}
+
+fn record_without_forwarding() -> FleetRecord {
+    FleetRecord::Vm {
+        incarnation: Incarnation(7),
+        address: ([127, 0, 0, 1], 7_560).into(),
+        accepts_forwarded: false,
+        data_centre: None,
+    }
+}
+
+/// Plays the seconds after a loss of power of all VMs: the callers return at once, and the buckets
+/// are empty. Guards against refusals although the tolerated excess would serve most callers, and
+/// against VMs that use more of it together than is tolerated if they start three times.
+#[test]
+fn callers_that_return_after_a_start_of_all_vms_use_a_third_of_the_tolerated_excess() {
+    let vms = ["vm-1", "vm-2", "vm-3", "vm-4"];
+    let served = vms.map(|vm| {
+        let peers: Vec<&str> = vms.into_iter().filter(|peer| *peer != vm).collect();
+        served_at_once(&mut start_with_slack(vm, &peers))
+    });
+    let total: usize = served.iter().sum();
+    assert!((3..=6).contains(&total), "{served:?}");
+}
+
+/// Guards against tokens that appear each time a VM joins or leaves, instead of once at the start.
+#[test]
+fn change_of_the_roster_adds_no_tokens() {
+    let mut harness = start_with_slack("vm-1", &[]);
+    assert_eq!(served_at_once(&mut harness), 6);
+    let joined = ObjectValue::Fleet(record_without_forwarding());
+    for record in [Some(joined), None] {
+        harness.change_object(ObjectKind::Fleet, "vm.vm-2", record);
+        harness.advance(400);
+        harness.replies.clear();
+        assert_eq!(served_at_once(&mut harness), 0);
+    }
+}
--- a/crates/pool/tests/store_fleet/mod.rs
+++ b/crates/pool/tests/store_fleet/mod.rs
@@ -96,6 +96,7 @@
         peer_address: SocketAddr::from(([127, 0, 0, 1], 7_000 + u16::try_from(vm).unwrap())),
         stop_grace: Duration::from_secs(6),
         key_ttl: None,
+        rate_slack: 0,
     }
 }
 
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -161,13 +161,27 @@
 
     /// Creates the same pool on the VM of the given name.
     pub(crate) fn start_as(vm: &str, peers: &[&str], config: PoolConfig) -> Self {
-        let mut harness = Self::start_unloaded(vm);
+        Self::start_with_rate_slack(vm, peers, config, 0)
+    }
+
+    /// Creates the same pool where some operations beyond the rate of a workspace are tolerated.
+    pub(crate) fn start_with_rate_slack(
+        vm: &str,
+        peers: &[&str],
+        config: PoolConfig,
+        rate_slack: u32,
+    ) -> Self {
+        let mut harness = Self::create(vm, rate_slack);
         harness.load(vm, peers, config);
         harness
     }
 
     /// Creates a pool that has not read anything from the store.
     pub(crate) fn start_unloaded(vm: &str) -> Self {
+        Self::create(vm, 0)
+    }
+
+    fn create(vm: &str, rate_slack: u32) -> Self {
         let settings = PoolSettings {
             vm: VmId::from(vm),
             incarnation: Incarnation(7),
@@ -175,6 +189,7 @@
             peer_address: peer_address(),
             stop_grace: Duration::from_secs(6),
             key_ttl: None,
+            rate_slack,
         };
         let mut harness = Self {
             pool: Pool::new(settings),
