Run statements at a VM that reaches a primary which this one does not reach

Load: a partition between a primary and some VMs, while others reach it.

Cause: a home that cannot reach the primary asks the other VMs, and as one of them reaches it, the primary is not replaced.

Change: the VM with the latest contact is remembered while the primary is out of reach. Waiting writes and new statements that need the primary are forwarded to it; a home gives those of other VMs back as not run, and their VM chooses the next home or runs them itself. Statements of open transactions stay. The decision is in unreachable_primary.rs.

--- a/crates/pool/src/failover/claim.rs
+++ b/crates/pool/src/failover/claim.rs
@@ -78,12 +78,17 @@
             .as_ref()
             .and_then(|primary| group.members.get(primary))
             .is_none_or(|primary| primary.missing_since.is_some());
-        let is_reached = peer_answers.values().any(Option::is_some);
+        let reaching = peer_answers.iter();
+        let reaching = reaching.filter_map(|(vm, contact)| contact.map(|contact| (contact, vm)));
+        let reached_by = reaching.min().map(|(_, vm)| vm.clone());
         let has_majority = (peer_answers.len() + 1) * 2 > vms;
         let primary = group.primary.clone();
+        let is_reached = reached_by.is_some();
+        group.primary_reached_by = reached_by;
         if is_reached {
             report_step(id, "another VM reaches the primary", primary, 0, actions);
-            return group.failover.pause(now, REJECTED_ATTEMPT_DELAY);
+            group.failover.pause(now, REJECTED_ATTEMPT_DELAY);
+            return self.move_waiting_to_reaching_vm(now, id, actions);
         }
         if !has_majority && !is_unregistered {
             report_step(id, "too few VMs answer", primary, 0, actions);
--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -29,6 +29,7 @@
 use crate::statement::Access;
 use crate::statement::CallerError;
 use crate::statement::TransactionState;
+use crate::unreachable_primary::will_need_primary;
 
 /// Attempts to forward a statement before it runs on the VM of its caller.
 const MAX_FORWARD_ATTEMPTS: u32 = 2;
@@ -262,9 +263,17 @@
         }
         let workspace = &session.login.as_ref()?.workspace;
         let may_forward = current.forward_attempts < MAX_FORWARD_ATTEMPTS;
+        let group = &current.route.group;
         let home = may_forward
-            .then(|| self.forwarding_target(now, workspace, &current.route.group))
+            .then(|| self.forwarding_target(now, workspace, group))
             .flatten();
+        let home = home.or_else(|| {
+            let may_detour = current.forward_attempts <= MAX_FORWARD_ATTEMPTS
+                && will_need_primary(&current.operation, &current.route);
+            may_detour
+                .then(|| self.vm_that_reaches_primary(now, group))
+                .flatten()
+        });
         home.filter(|home| self.roster.get(home).is_some())
     }
 
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -10,6 +10,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::Term;
+use lycheedoor_core::types::VmId;
 
 use crate::failover::Failover;
 use crate::member::Member;
@@ -41,6 +42,8 @@
     /// Members that had announced that they were leaving are not included.
     missing_members: BTreeMap<MemberId, MonoTime>,
     pub(crate) primary: Option<MemberId>,
+    /// Another VM that reached the primary when this one last asked because it does not.
+    pub(crate) primary_reached_by: Option<VmId>,
     /// The promotion with the highest fencing token that the platform has accepted.
     latest_promotion: Option<(MemberId, u64)>,
     samples: VecDeque<Sample>,
@@ -97,6 +100,7 @@
             return None;
         }
         self.primary = member;
+        self.primary_reached_by = None;
         Some(evidence)
     }
 
--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -154,17 +154,16 @@
         workspace: &WorkspaceId,
         group: &GroupId,
     ) -> Option<VmId> {
-        let is_usable = |vm: &VmId| {
-            *vm == self.settings.vm
-                || self
-                    .peer_health
-                    .get(vm)
-                    .is_none_or(|health| health.unavailable_until <= now)
-        };
+        let is_usable = |vm: &VmId| *vm == self.settings.vm || self.is_peer_available(now, vm);
         let home = self.homes(workspace, group).into_iter().find(is_usable)?;
         (home != self.settings.vm).then_some(home)
     }
 
+    pub(crate) fn is_peer_available(&self, now: MonoTime, vm: &VmId) -> bool {
+        let health = self.peer_health.get(vm);
+        health.is_none_or(|health| health.unavailable_until <= now)
+    }
+
     /// Returns the VMs that may be home of a workspace in a group, the preferred one first. They are
     /// those that hold a share of the workspace's rate. Their order is the same for all workspaces,
     /// so that a group has fewer homes, which share the connections that its members accept.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -42,6 +42,7 @@
 mod successor_monitor;
 mod timeouts;
 mod transactions;
+mod unreachable_primary;
 mod usage;
 
 pub use cold::cold_share;
--- a/crates/pool/src/remote.rs
+++ b/crates/pool/src/remote.rs
@@ -21,6 +21,7 @@
 use crate::session::Session;
 use crate::statement::CallerError;
 use crate::statement::TransactionState;
+use crate::unreachable_primary::will_need_primary;
 
 /// Callers with at least this number are sessions at other VMs.
 const FIRST_REMOTE_CALLER: u64 = 1 << 63;
@@ -85,7 +86,12 @@
             self.drop_remote_session(now, caller, actions);
         }
         let is_serving = self.is_ready && self.stop.is_none() && !self.is_isolated();
-        if !is_serving || self.config.version < request.version {
+        let route = self.config.routes.get(&request.database);
+        let is_out_of_reach = route.is_some_and(|route| {
+            will_need_primary(&request.operation, route)
+                && self.vm_that_reaches_primary(now, &route.group).is_some()
+        });
+        if !is_serving || is_out_of_reach || self.config.version < request.version {
             return self.send_forwarded_reply(&origin, ForwardedOutcome::NotAccepted, actions);
         }
         self.last_remote_caller += 1;
@@ -229,7 +235,7 @@
         }
     }
 
-    fn send_forwarded_reply(
+    pub(crate) fn send_forwarded_reply(
         &self,
         origin: &RemoteCaller,
         outcome: ForwardedOutcome,
--- a/crates/pool/tests/failover.rs
+++ b/crates/pool/tests/failover.rs
@@ -349,3 +349,31 @@
     harness.advance(3_000);
     assert_eq!(claims(&harness), 0);
 }
+
+fn forwards(harness: &PoolHarness) -> usize {
+    let is_forward = |action: &&PoolAction| match action {
+        PoolAction::SendPeer { message, .. } => message.forwarded_statement().is_some(),
+        _ => false,
+    };
+    harness.other_actions.iter().filter(is_forward).count()
+}
+
+/// Plays a partition between the primary and this VM. Guards against statements that wait until their
+/// timeout although another VM reaches the primary, which is therefore not replaced.
+#[test]
+fn write_runs_at_a_vm_that_reaches_the_primary_when_this_one_does_not() {
+    let mut harness = PoolHarness::with_peers(&["vm-2"]);
+    kill_primary(&mut harness);
+    for _ in 0..150 {
+        advance_with_dead_primary(&mut harness, 5);
+        if answer_contact_requests(&mut harness, Some(5)) {
+            harness.advance(150);
+            break;
+        }
+    }
+    assert_eq!(forwards(&harness), 1);
+    let caller = harness.open_session("primary-db");
+    harness.query(caller, "BEGIN");
+    assert_eq!(forwards(&harness), 2);
+    assert_eq!(claims(&harness), 0);
+}
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -7,7 +7,9 @@
 
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::DataCentreId;
+use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::Incarnation;
+use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::VmId;
 use lycheedoor_core::types::WorkspaceId;
 use lycheedoor_pool::CallerError;
@@ -591,6 +593,49 @@
     assert!(pair.is_done(caller));
 }
 
+/// Plays a partition between the primary and the home. Guards against forwarded statements that wait
+/// there until their timeout although their own VM reaches the primary.
+#[test]
+fn home_returns_a_write_when_it_does_not_reach_the_primary_and_another_vm_does() {
+    let mut pair = Pair::new();
+    let caller = pair.entry.open_session("primary-db");
+    pair.entry.query(caller, "WRITE x 1");
+    pair.deliver();
+    let is_question = |action: &PoolAction| {
+        matches!(
+            action,
+            PoolAction::SendPeer {
+                message: PoolMessage::AskContact { .. },
+                ..
+            }
+        )
+    };
+    while !pair.home.other_actions.iter().any(is_question) {
+        pair.home.advance(5);
+        pair.entry.advance(5);
+    }
+    pair.home.other_actions.clear();
+    let answer = PoolMessage::Contact {
+        group: GroupId::from(support::GROUP),
+        member: MemberId::from(PRIMARY),
+        heard_ms: Some(5),
+    };
+    pair.home.event(PoolEvent::PeerSent {
+        from: VmId::from(ENTRY),
+        incarnation: Incarnation(7),
+        message: answer,
+    });
+    pair.home.advance(130);
+    pair.deliver();
+    pair.entry.answer_all_commands(1);
+    assert!(pair.is_done(caller));
+    // The next one does not wait.
+    pair.entry.query(caller, "WRITE x 2");
+    pair.deliver();
+    pair.entry.answer_all_commands(2);
+    assert!(pair.is_done(caller));
+}
+
 /// Guards against a second start of a session that leaves its transaction open at the member.
 #[test]
 fn second_start_of_a_session_ends_its_transaction() {
