Continue a claim whose answer was lost when the store shows it

Reported by operators of similar systems: after an answer was lost, work that had run was taken for another one's. Found by reading: each attempt to claim a group takes a new sequence number, so the record that an earlier attempt had written was never recognised. The number was also shared by all groups, so a claim of another group in between had the same effect.

Change: claims without an answer are remembered until one is answered. A record of one of them, for the same primary, is continued with its token, under which nothing can have been ordered. A claim that was answered is not used again, as an order with its token may be outstanding and be carried out later.

Tests: claim_whose_answer_is_lost_is_continued_when_the_store_shows_it fails before and without the memory; claim_that_was_answered_is_not_used_again fails if any own record is continued.

--- a/crates/pool/src/failover/claim.rs
+++ b/crates/pool/src/failover/claim.rs
@@ -111,6 +111,7 @@
         group.failover.phase = Phase::Claiming;
         group.failover.not_before = now;
         group.failover.claimed_primary = group.primary.clone();
+        group.failover.latest_claim = Some(self.claim_sequence);
         let record = FleetRecord::Promotion {
             holder: self.settings.vm.clone(),
             incarnation: self.settings.incarnation,
@@ -132,29 +133,37 @@
         outcome: WriteOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
-        let own = FleetRecord::Promotion {
-            holder: self.settings.vm.clone(),
-            incarnation: self.settings.incarnation,
-            sequence: self.claim_sequence,
-            replaces: self
-                .groups
-                .get(id)
-                .and_then(|group| group.failover.claimed_primary.clone()),
-        };
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
-        if !matches!(group.failover.phase, Phase::Claiming) {
+        let failover = &mut group.failover;
+        if !matches!(failover.phase, Phase::Claiming) {
             return;
         }
+        let (vm, incarnation) = (&self.settings.vm, self.settings.incarnation);
+        let is_own = |record: &FleetRecord| match record {
+            FleetRecord::Promotion {
+                holder,
+                incarnation: of,
+                sequence,
+                replaces,
+            } => {
+                holder == vm
+                    && *of == incarnation
+                    && *replaces == failover.claimed_primary
+                    && failover.unanswered_claims.contains(sequence)
+            }
+            FleetRecord::Vm { .. } => false,
+        };
         let token = match outcome {
             WriteOutcome::Written(token) => token,
-            // An earlier write of this claim, which got no answer, took effect.
+            // An earlier claim, which got no answer, took effect. Its token has not been used.
             WriteOutcome::Conflict {
                 revision,
                 record: Some(record),
-            } if record == own => revision,
+            } if is_own(&record) => revision,
             WriteOutcome::Conflict { revision, record } => {
+                failover.unanswered_claims.clear();
                 let member = group.primary.clone();
                 report_step(id, "another VM has claimed", member, revision, actions);
                 let pause = if record.is_some() {
@@ -165,10 +174,12 @@
                 return group.failover.pause(now, pause);
             }
             WriteOutcome::Unknown => {
+                failover.unanswered_claims.extend(failover.latest_claim);
                 report_step(id, "claim has no answer", group.primary.clone(), 0, actions);
                 return group.failover.pause(now, FAILED_STEP_DELAY);
             }
         };
+        group.failover.unanswered_claims.clear();
         if group.failover.pending_cause.is_none() {
             return group.failover.pause(now, Duration::ZERO);
         }
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -21,6 +21,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::VmId;
+use smallvec::SmallVec;
 
 use crate::event::PoolAction;
 use crate::group::Group;
@@ -95,6 +96,10 @@
     phase: Phase,
     not_before: MonoTime,
     claimed_primary: Option<MemberId>,
+    /// The number of the latest claim.
+    latest_claim: Option<u64>,
+    /// Claims that may have taken effect although the store did not answer.
+    unanswered_claims: SmallVec<[u64; 2]>,
 }
 
 impl Failover {
--- a/crates/pool/tests/failover.rs
+++ b/crates/pool/tests/failover.rs
@@ -10,6 +10,7 @@
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::VmId;
+use lycheedoor_pool::FleetRecord;
 use lycheedoor_pool::GroupRule;
 use lycheedoor_pool::MemberCommand;
 use lycheedoor_pool::MemberFault;
@@ -377,3 +378,71 @@
     assert_eq!(forwards(&harness), 2);
     assert_eq!(claims(&harness), 0);
 }
+
+/// Returns the claim that the VM has written last.
+fn latest_claim(harness: &PoolHarness) -> Option<FleetRecord> {
+    let mut actions = harness.other_actions.iter().rev();
+    actions.find_map(|action| match action {
+        PoolAction::WriteRecord { name, record, .. } if name.starts_with("group.") => {
+            Some(record.clone())
+        }
+        _ => None,
+    })
+}
+
+/// Guards against a VM that takes its own claim for that of another one and waits for seconds,
+/// because the answer to the claim was lost.
+#[test]
+fn claim_whose_answer_is_lost_is_continued_when_the_store_shows_it() {
+    let mut harness = PoolHarness::with_peers(&PEERS);
+    kill_primary(&mut harness);
+    assert!(run_to_claim(&mut harness, 2_000, None));
+    let written = latest_claim(&harness);
+    let name = format!("group.{GROUP}");
+    harness.event(PoolEvent::RecordWritten {
+        name: name.clone(),
+        outcome: WriteOutcome::Unknown,
+    });
+    let is_answered = true;
+    harness.event(PoolEvent::StoreProbed { is_answered });
+    harness.other_actions.clear();
+    assert!(run_to_claim(&mut harness, 1_000, None));
+    harness.event(PoolEvent::RecordWritten {
+        name,
+        outcome: WriteOutcome::Conflict {
+            revision: 900,
+            record: written,
+        },
+    });
+    advance_with_dead_primary(&mut harness, 400);
+    assert_eq!(promoted(&harness), Some(("m3".to_owned(), 900)));
+}
+
+/// Guards against an order that is given with a token under which another one may be outstanding.
+#[test]
+fn claim_that_was_answered_is_not_used_again() {
+    let mut harness = PoolHarness::with_peers(&PEERS);
+    kill_primary(&mut harness);
+    assert!(run_to_claim(&mut harness, 2_000, None));
+    let written = latest_claim(&harness);
+    grant_claim(&mut harness, 900);
+    advance_with_dead_primary(&mut harness, 400);
+    assert_eq!(promoted(&harness), Some(("m3".to_owned(), 900)));
+    harness.event(PoolEvent::PromotionAnswered {
+        group: GroupId::from(GROUP),
+        token: 900,
+        outcome: PromotionOutcome::Unknown,
+    });
+    harness.other_actions.clear();
+    if run_to_claim(&mut harness, 3_000, None) {
+        harness.event(PoolEvent::RecordWritten {
+            name: format!("group.{GROUP}"),
+            outcome: WriteOutcome::Conflict {
+                revision: 900,
+                record: written,
+            },
+        });
+        advance_with_dead_primary(&mut harness, 400);
+    }
+    assert!(promoted(&harness).is_none_or(|(_, token)| token > 900));
+}
