Continue a claim when it is read from the store before its answer arrives

The data centre of two primaries loses power while a third of the store's answers are lost.

The VM had read its own claim from the store within milliseconds and ignored it.

Change: a claim of this process whose answer is outstanding counts as written when it is read. Its answer, if it still arrives, is ignored.

Test: claim_is_continued_when_it_is_read_before_its_answer_arrives fails before.

--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Returns whether the answer to a claim is outstanding.
+    pub(crate) fn awaits_claim(&self, sequence: u64) -> bool {
+        matches!(self.phase, Phase::Claiming) && self.latest_claim == Some(sequence)
+    }
+
     /// Delays this VM's own attempt because another VM has started one.
     pub(crate) fn peer_attempt_started(&mut self, now: MonoTime) {
         if matches!(self.phase, Phase::Idle) {
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -10,6 +10,7 @@
 use lycheedoor_core::types::VmId;
 
 use crate::event::PoolAction;
+use crate::event::WriteOutcome;
 use crate::member::Member;
 use crate::member::MemberEntry;
 use crate::pool::Pool;
@@ -247,25 +248,44 @@
                 false
             }
             (None, Some(ObjectValue::Fleet(record))) => {
-                self.apply_promotion_record(&change.name, &record, change.revision);
+                self.apply_promotion_record(&change.name, &record, change.revision, actions);
                 false
             }
             _ => false,
         }
     }
 
-    fn apply_promotion_record(&mut self, name: &str, record: &FleetRecord, revision: u64) {
-        let FleetRecord::Promotion { holder, .. } = record else {
+    fn apply_promotion_record(
+        &mut self,
+        name: &str,
+        record: &FleetRecord,
+        revision: u64,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let FleetRecord::Promotion {
+            holder,
+            incarnation,
+            sequence,
+            ..
+        } = record
+        else {
             return;
         };
         let Some(group) = name.strip_prefix(GROUP_RECORD_PREFIX) else {
             return;
         };
         let is_own = *holder == self.settings.vm;
+        let is_of_this_process = is_own && *incarnation == self.settings.incarnation;
         let now = self.last_event_at;
-        if let Some(group) = self.groups.get_mut(group) {
-            group.failover.claim_seen(now, revision, is_own);
+        let Some(state) = self.groups.get_mut(group) else {
+            return;
+        };
+        if is_of_this_process && state.failover.awaits_claim(*sequence) {
+            // The answer to the write may be lost.
+            let outcome = WriteOutcome::Written(revision);
+            return self.claim_answered(now, &GroupId::from(group), outcome, actions);
         }
+        state.failover.claim_seen(now, revision, is_own);
     }
 
     pub(crate) fn update_rates_roster(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
--- a/crates/pool/tests/failover.rs
+++ b/crates/pool/tests/failover.rs
@@ -418,6 +418,25 @@
     assert_eq!(promoted(&harness), Some(("m3".to_owned(), 900)));
 }
 
+/// Plays a failover while answers of the store are lost. Guards against a VM that waits for the answer to
+/// its claim until the call times out, although it has read the claim from the store.
+#[test]
+fn claim_is_continued_when_it_is_read_before_its_answer_arrives() {
+    let mut harness = PoolHarness::with_peers(&PEERS);
+    kill_primary(&mut harness);
+    assert!(run_to_claim(&mut harness, 2_000, None));
+    let written = latest_claim(&harness).map(ObjectValue::Fleet);
+    harness.change_object(ObjectKind::Fleet, &format!("group.{GROUP}"), written);
+    let token = harness.revision;
+    advance_with_dead_primary(&mut harness, 400);
+    assert_eq!(promoted(&harness), Some(("m3".to_owned(), token)));
+    // The answer arrives later after all.
+    grant_claim(&mut harness, token);
+    let is_promotion = |action: &&PoolAction| matches!(action, PoolAction::Promote { .. });
+    let promotions = harness.other_actions.iter().filter(is_promotion);
+    assert_eq!(promotions.count(), 1);
+}
+
 /// Guards against an order that is given with a token under which another one may be outstanding.
 #[test]
 fn claim_that_was_answered_is_not_used_again() {
