Refuse at once when a workspace sends more than its rate for long

Each token went to a statement that had waited, so results of it were late too, and callers repeated refused ones 100 ms later than they could.

Change: once demand has exceeded the refill rate by 30% for a second and peers have no tokens to lend, a statement without a token is refused when it arrives. Shorter bursts wait as before, as do callers that return after an outage. As many statements are served: all tokens are used either way.

Test: workspace_far_over_its_rate_gets_prompt_refusals_and_no_late_results fails before (90 ms).

--- a/crates/core/src/rates/limiter.rs
+++ b/crates/core/src/rates/limiter.rs
@@ -36,6 +36,14 @@
 const MIN_FETCH_INTERVAL: Duration = Duration::from_millis(10);
 const MAX_FETCH_INTERVAL: Duration = Duration::from_millis(320);
 
+/// The percentage of the refill rate, own and borrowed, above which demand leaves no tokens for
+/// requests that wait: those that arrive in the meantime use all of them.
+const OVERLOAD_DEMAND_PERCENT: u64 = 130;
+
+/// How long demand has to be that high. Requests of a short burst wait for tokens instead, as callers
+/// that return together after an outage do.
+const OVERLOAD_DELAY: Duration = Duration::from_secs(1);
+
 /// The fetch interval at which peers are assumed to have no tokens, reached after four rounds that
 /// brought none.
 const EXHAUSTED_FETCH_INTERVAL: Duration = Duration::from_millis(160);
@@ -64,6 +72,7 @@
     pub(crate) next_fetch: MonoTime,
     fetch_interval: Duration,
     tokens_arrived: bool,
+    overloaded_since: Option<MonoTime>,
 }
 
 impl Limiter {
@@ -207,6 +216,19 @@
         self.fetch_interval >= EXHAUSTED_FETCH_INTERVAL && !self.tokens_arrived
     }
 
+    /// Returns whether requests have arrived faster than tokens for [`OVERLOAD_DELAY`], and peers have
+    /// none to lend. A request that waits then takes the token of a later one, so that both are late.
+    pub(crate) fn is_overloaded(&mut self, now: MonoTime) -> bool {
+        let demand = self.demand.millitokens_per_second(now);
+        let limit = self.refill_rate() * OVERLOAD_DEMAND_PERCENT / 100;
+        if demand <= limit || !self.peers_are_exhausted() {
+            self.overloaded_since = None;
+            return false;
+        }
+        let since = *self.overloaded_since.get_or_insert(now);
+        now.since(since) >= OVERLOAD_DELAY
+    }
+
     /// Returns how long one more request would wait for its token without further loans.
     pub(crate) fn expected_wait(&self, now: MonoTime) -> Duration {
         let ahead = match self.admits_newest_first(now) {
--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -368,7 +368,9 @@
             return actions.push(refused(Reason::OverRate));
         }
         let until = deadline.min(now + self.max_wait);
-        if limiter.peers_are_exhausted() && limiter.expected_wait(now) > until.since(now) {
+        let expected_wait = limiter.expected_wait(now);
+        let is_overloaded = limiter.is_overloaded(now) && !expected_wait.is_zero();
+        if is_overloaded || limiter.peers_are_exhausted() && expected_wait > until.since(now) {
             // No token can arrive in time, so waiting would only delay the refusal. Requests that
             // are already waiting keep requesting tokens from peers.
             return actions.push(refused(Reason::OverRate));
--- a/crates/pool/tests/rates.rs
+++ b/crates/pool/tests/rates.rs
@@ -82,6 +82,52 @@
     assert!(matches!(reply, Some(CallerReply::Done { .. })), "{reply:?}");
 }
 
+/// Guards against statements that wait for tokens which later ones need while a workspace sends more
+/// than its rate for long: they are refused late, and those that are served are late as well.
+#[test]
+fn workspace_far_over_its_rate_gets_prompt_refusals_and_no_late_results() {
+    let mut limited = config(1);
+    let rule = RateRule {
+        per_s: 20,
+        burst: 20,
+    };
+    limited.rates.insert(WorkspaceId::from("acme"), rule);
+    let mut harness = PoolHarness::start(&[], limited);
+    let (mut served, mut refused) = (Vec::new(), Vec::new());
+    let mut open = Vec::new();
+    // 50 statements a second for 7 s; the first two are the transition.
+    for arrival in 0..350 {
+        let caller = harness.open_session("primary-db");
+        harness.query(caller, "WRITE x 1");
+        open.push((arrival, caller, harness.now));
+        for _ in 0..4 {
+            harness.answer_all_commands(1);
+            open.retain(|(arrival, caller, sent_at)| {
+                let waited = harness.now.since(*sent_at);
+                match harness.last_reply(*caller) {
+                    Some(CallerReply::Done { .. }) if *arrival >= 100 => served.push(waited),
+                    Some(CallerReply::Failed { .. }) if *arrival >= 100 => refused.push(waited),
+                    Some(CallerReply::Done { .. } | CallerReply::Failed { .. }) => {}
+                    _ => return true,
+                }
+                false
+            });
+            harness.advance(5);
+        }
+        harness.replies.clear();
+    }
+    assert!(
+        (95..=105).contains(&served.len()),
+        "{} served",
+        served.len()
+    );
+    let slowest = served.iter().chain(&refused).max();
+    assert!(
+        slowest.is_some_and(|waited| waited.as_millis() <= 10),
+        "{slowest:?}"
+    );
+}
+
 /// Guards against a single VM that exceeds the rate.
 #[test]
 fn statements_over_the_rate_are_refused_as_not_run() {
