Recognise an overloaded workspace by its refusals instead of its demand

Where several VMs hold the rate, tokens move between them by loans, so peers are never exhausted for a second although all of them refuse most statements.

Change: the moving average of refusals decides. Above 30% a statement waits for a token only as long as a peer needs to lend one.

--- a/crates/core/src/rates/limiter.rs
+++ b/crates/core/src/rates/limiter.rs
@@ -36,13 +36,12 @@
 const MIN_FETCH_INTERVAL: Duration = Duration::from_millis(10);
 const MAX_FETCH_INTERVAL: Duration = Duration::from_millis(320);
 
-/// The percentage of the refill rate, own and borrowed, above which demand leaves no tokens for
-/// requests that wait: those that arrive in the meantime use all of them.
-const OVERLOAD_DEMAND_PERCENT: u64 = 130;
+/// The share of refused requests, in thousandths, above which the workspace counts as overloaded:
+/// requests that wait would take the tokens of later ones, so that all are served late.
+const OVERLOAD_REFUSALS_PER_MILLE: u32 = 300;
 
-/// How long demand has to be that high. Requests of a short burst wait for tokens instead, as callers
-/// that return together after an outage do.
-const OVERLOAD_DELAY: Duration = Duration::from_secs(1);
+/// Each request contributes one part in this many to the moving average of refusals.
+const REFUSAL_WEIGHT_DIVISOR: u32 = 16;
 
 /// The fetch interval at which peers are assumed to have no tokens, reached after four rounds that
 /// brought none.
@@ -72,7 +71,8 @@
     pub(crate) next_fetch: MonoTime,
     fetch_interval: Duration,
     tokens_arrived: bool,
-    overloaded_since: Option<MonoTime>,
+    /// The moving average of refused requests, in thousandths.
+    refusals_per_mille: u32,
 }
 
 impl Limiter {
@@ -216,17 +216,17 @@
         self.fetch_interval >= EXHAUSTED_FETCH_INTERVAL && !self.tokens_arrived
     }
 
-    /// Returns whether requests have arrived faster than tokens for [`OVERLOAD_DELAY`], and peers have
-    /// none to lend. A request that waits then takes the token of a later one, so that both are late.
-    pub(crate) fn is_overloaded(&mut self, now: MonoTime) -> bool {
-        let demand = self.demand.millitokens_per_second(now);
-        let limit = self.refill_rate() * OVERLOAD_DEMAND_PERCENT / 100;
-        if demand <= limit || !self.peers_are_exhausted() {
-            self.overloaded_since = None;
-            return false;
-        }
-        let since = *self.overloaded_since.get_or_insert(now);
-        now.since(since) >= OVERLOAD_DELAY
+    /// Records whether a request was refused for want of a token.
+    pub(crate) fn record_outcome(&mut self, is_refused: bool) {
+        let outcome = if is_refused { 1_000 } else { 0 };
+        self.refusals_per_mille = (self.refusals_per_mille * (REFUSAL_WEIGHT_DIVISOR - 1)
+            + outcome)
+            / REFUSAL_WEIGHT_DIVISOR;
+    }
+
+    /// Returns whether a large part of the latest requests was refused.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.refusals_per_mille > OVERLOAD_REFUSALS_PER_MILLE
     }
 
     /// Returns how long one more request would wait for its token without further loans.
--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -68,6 +68,10 @@
 /// [`Rates::set_max_wait`] sets another one.
 pub const MAX_TOKEN_WAIT: Duration = Duration::from_millis(100);
 
+/// The longest such wait while a workspace sends more than its rate: the time in which a peer can
+/// lend a token.
+const MAX_TOKEN_WAIT_IN_OVERLOAD: Duration = Duration::from_millis(20);
+
 /// The lifetime of a loan at the borrower, from when it sent the loan request. What a
 /// killed VM had borrowed is unavailable to the fleet for this long.
 const BORROWER_LOAN_LIFETIME: Duration = Duration::from_millis(400);
@@ -365,12 +369,16 @@
         process_waiting(now, limiter, actions);
         limiter.demand.record_arrival(now);
         if limiter.waiting.len() >= limiter.max_waiting {
+            limiter.record_outcome(true);
             return actions.push(refused(Reason::OverRate));
         }
-        let until = deadline.min(now + self.max_wait);
-        let expected_wait = limiter.expected_wait(now);
-        let is_overloaded = limiter.is_overloaded(now) && !expected_wait.is_zero();
-        if is_overloaded || limiter.peers_are_exhausted() && expected_wait > until.since(now) {
+        let max_wait = match limiter.is_overloaded() {
+            true => self.max_wait.min(MAX_TOKEN_WAIT_IN_OVERLOAD),
+            false => self.max_wait,
+        };
+        let until = deadline.min(now + max_wait);
+        if limiter.peers_are_exhausted() && limiter.expected_wait(now) > until.since(now) {
+            limiter.record_outcome(true);
             // No token can arrive in time, so waiting would only delay the refusal. Requests that
             // are already waiting keep requesting tokens from peers.
             return actions.push(refused(Reason::OverRate));
@@ -425,17 +433,21 @@
 /// Refuses the requests that have waited too long, and admits others while there are tokens.
 fn process_waiting(now: MonoTime, limiter: &mut Limiter, actions: &mut Vec<RatesAction>) {
     if limiter.next_timeout.is_some_and(|first| first <= now) {
+        let mut timed_out = 0;
         limiter.waiting.retain(|waiting| {
             let request = waiting.request;
             let reason = Reason::OverRate;
             if waiting.until <= now {
+                timed_out += 1;
                 actions.push(RatesAction::Refused { request, reason });
             }
             waiting.until > now
         });
+        (0..timed_out).for_each(|_| limiter.record_outcome(true));
         limiter.next_timeout = limiter.waiting.iter().map(|waiting| waiting.until).min();
     }
     while !limiter.waiting.is_empty() && limiter.try_spend() {
+        limiter.record_outcome(false);
         let admitted = limiter.next_to_admit(now);
         actions.extend(admitted.map(|waiting| RatesAction::Admitted {
             request: waiting.request,
