Divide workspaces into cells with the same homes, and serve reads in the data centre where they arrive

Causes: the holders of a workspace's rate, which are its homes, were chosen for each workspace, so a group had up to as many homes as workspaces (with 300 VMs 60 connections at members that accept 30). A home in the data centre of the primary sends reads to replicas elsewhere. And each VM computed the homes of all groups for each workspace again at each change of the roster, 70% of its processor time (perf, 300 VMs).

Change: - Workspaces belong to cells, whose number follows from the connections that members accept. Those of a cell have the same holders, which are in different data centres by turns. - A read is forwarded to the holder in the data centre where it arrives if that has a replica; other statements go to the data centre of the primary as before. The connections that a member accepts are distributed over the homes that use this member. - The homes of reads have no connection to the primary. They ask the home of the writes for a position with its age, which counts from before the request. - Homes are computed once for each list of holders, only where needed, and only after a change that concerns them; names of VMs are found by index.

In the harness of fleets workspaces may differ in load.

--- a/crates/core/src/rates/mod.rs
+++ b/crates/core/src/rates/mod.rs
@@ -46,12 +46,14 @@
 pub use message::LoanRequest;
 pub use message::RatesMessage;
 pub use split::RateDistribution;
+pub use split::SlotOwner;
 
 use crate::config::Config;
 use crate::rates::limiter::Limiter;
 use crate::rates::limiter::WaitingRequest;
 use crate::rates::send_log::SendLog;
 use crate::rates::split::Split;
+use crate::rates::split::SplitLayout;
 use crate::types::MonoTime;
 use crate::types::Reason;
 use crate::types::RequestId;
@@ -95,7 +97,7 @@
 #[derive(Clone, Debug)]
 pub struct Rates {
     lending_mode: LendingMode,
-    distribution: RateDistribution,
+    layout: SplitLayout,
     max_wait: Duration,
     /// The slots that the roster assigns to this VM, and when each becomes usable.
     held_slots: Vec<(u16, MonoTime)>,
@@ -103,11 +105,8 @@
     /// The tokens of each workspace with which the buckets of all VMs together begin.
     start_tokens: u32,
     has_started: bool,
-    slot_count: u16,
-    /// The names of the slots by number; empty if they are known by number only.
-    slot_names: Vec<VmId>,
-    /// Whether the names have changed since the rates were split over the slots.
-    names_changed: bool,
+    /// Whether the owners have changed since the rates were split over the slots.
+    owners_changed: bool,
     roster_version: u64,
     peers: BTreeMap<VmId, RosterPeer>,
     /// By peer, the roster version since which it has lost no slot. A grant from an older roster
@@ -137,15 +136,13 @@
     pub fn new(lending_mode: LendingMode) -> Self {
         Self {
             lending_mode,
-            distribution: RateDistribution::default(),
+            layout: SplitLayout::default(),
             max_wait: MAX_TOKEN_WAIT,
             held_slots: Vec::new(),
             usable_slots: BTreeSet::new(),
             start_tokens: 0,
             has_started: false,
-            slot_count: 0,
-            slot_names: Vec::new(),
-            names_changed: false,
+            owners_changed: false,
             roster_version: 0,
             peers: BTreeMap::new(),
             min_answer_roster_version: BTreeMap::new(),
@@ -175,17 +172,17 @@
     }
 
     /// Sets how rates are distributed over the slots; the default is [`RateDistribution::Spread`].
-    /// All VMs must use the same distribution.
+    /// It is used from the next configuration or roster on. All VMs must use the same distribution.
     pub fn set_distribution(&mut self, distribution: RateDistribution) {
-        self.distribution = distribution;
+        self.layout.distribution = distribution;
     }
 
-    /// Sets the names of the slots by number for the next roster. Shares then belong to names: a
+    /// Sets the owners of the slots by number for the next roster. Shares then belong to VMs: a
     /// slot that is added or removed moves only the shares that it gets or had, and a VM keeps the
     /// tokens of a share that it keeps.
-    pub fn set_slot_names(&mut self, names: Vec<VmId>) {
-        self.names_changed |= self.slot_names != names;
-        self.slot_names = names;
+    pub fn set_slot_owners(&mut self, owners: Vec<SlotOwner>) {
+        self.owners_changed |= self.layout.owners != owners;
+        self.layout.owners = owners;
     }
 
     /// Returns the slots that hold a share of a workspace's rate, by rank. The order is the same on
@@ -326,15 +323,10 @@
             // Loans to peers are kept when a workspace is removed, in case it is added again.
             known || limiter.bucket.has_loans()
         });
+        let mut splits = self.layout.split_all(&self.config.workspaces);
         for (id, workspace) in &self.config.workspaces {
             let limiter = self.limiters.entry(id.clone()).or_default();
-            limiter.split = Split::new(
-                id,
-                workspace,
-                self.slot_count,
-                &self.slot_names,
-                self.distribution,
-            );
+            limiter.split = splits.remove(id).unwrap_or_default();
             let wait_ms = MAX_TOKEN_WAIT.as_millis() as usize;
             let accrued_in_wait = workspace.rate_per_s as usize * wait_ms / 1_000;
             limiter.max_waiting =
--- a/crates/core/src/rates/slots.rs
+++ b/crates/core/src/rates/slots.rs
@@ -9,7 +9,6 @@
 use crate::rates::last_seq;
 use crate::rates::limiter::Limiter;
 use crate::rates::split::Share;
-use crate::rates::split::Split;
 use crate::types::MonoTime;
 use crate::types::RosterPeer;
 use crate::types::RosterView;
@@ -69,12 +68,12 @@
             return;
         }
         self.lease_until = Some(view.lease_until);
-        let slots_are_named = !self.slot_names.is_empty();
-        let slot_count_changed = view.slot_count != self.slot_count;
-        let numbers_changed = slot_count_changed && !slots_are_named;
+        let slots_have_owners = !self.layout.owners.is_empty();
+        let slot_count_changed = view.slot_count != self.layout.slot_count;
+        let numbers_changed = slot_count_changed && !slots_have_owners;
         let former_shares = self.own_shares();
         self.roster_version = view.version;
-        self.slot_count = view.slot_count;
+        self.layout.slot_count = view.slot_count;
         self.held_slots = view.slots.iter().map(|s| (s.slot, s.usable_from)).collect();
         let peers = view.peers.into_iter().map(|peer| (peer.vm.clone(), peer));
         let former = std::mem::replace(&mut self.peers, peers.collect());
@@ -85,24 +84,18 @@
                 peer.is_some_and(|peer| peer.incarnation == incarnation)
             });
         }
-        if slot_count_changed || self.names_changed {
-            self.names_changed = false;
-            for (id, limiter) in &mut self.limiters {
-                if let Some(workspace) = self.config.workspaces.get(id) {
-                    limiter.split = Split::new(
-                        id,
-                        workspace,
-                        self.slot_count,
-                        &self.slot_names,
-                        self.distribution,
-                    );
+        if slot_count_changed || self.owners_changed {
+            self.owners_changed = false;
+            for (id, split) in self.layout.split_all(&self.config.workspaces) {
+                if let Some(limiter) = self.limiters.get_mut(&id) {
+                    limiter.split = split;
                 }
             }
         }
         self.update_share_holders();
         let due = self.held_slots.iter().filter(|slot| slot.1 <= now);
         let usable: BTreeSet<u16> = due.map(|slot| slot.0).collect();
-        if slots_are_named {
+        if slots_have_owners {
             self.usable_slots = usable;
             self.keep_common_shares(now, &former_shares);
         } else {
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -15,8 +15,9 @@
 
 impl Pool {
     /// Returns this VM's share of the connections that a member of a group accepts.
-    pub(crate) fn link_budget(&self, group: &GroupId) -> u32 {
-        self.group_homes(group).connection_share(&self.settings.vm)
+    pub(crate) fn link_budget(&self, group: &GroupId, member: &MemberId) -> u32 {
+        let homes = self.group_homes(group);
+        homes.connection_share(member, &self.settings.vm)
     }
 
     /// Returns how many statements a second this VM may send to a cold member; `None` without a
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -75,6 +75,14 @@
             return;
         };
         let group = current.route.group.clone();
+        self.obtain_position(now, caller, actions);
+        let Some(current) = self
+            .sessions
+            .get(&caller)
+            .and_then(|session| session.current.as_ref())
+        else {
+            return;
+        };
         let rank = |current: &CurrentStatement| (current.route.priority, current.started_at);
         let own_rank = rank(current);
         let sessions = &self.sessions;
@@ -93,6 +101,27 @@
         self.dispatch_group(now, &group, actions);
     }
 
+    /// Starts to obtain a recent position of the primary if a statement could run on a replica with it.
+    fn obtain_position(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
+        let Some(session) = self.sessions.get(&caller) else {
+            return;
+        };
+        let Some(current) = session
+            .current
+            .as_ref()
+            .filter(|current| !current.needs_primary)
+        else {
+            return;
+        };
+        let id = current.route.group.clone();
+        let requirement = |group| requirement_of(now, session, current, group);
+        let requirement = self.groups.get(&id).map(requirement);
+        if requirement == Some(Requirement::PrimaryOnly) && !self.sample_primary(now, &id, actions)
+        {
+            self.request_position(now, caller, &id, actions);
+        }
+    }
+
     /// Fails a waiting statement that has not run, and aborts its transaction if it has one.
     fn refuse_waiting(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
         let session = self.sessions.get(&caller);
@@ -142,10 +171,10 @@
             });
         let usable = usable.fold(
             (0, 0, Duration::ZERO),
-            |(count, capacity, sum), (_, member)| {
+            |(count, capacity, sum), (name, member)| {
                 (
                     count + 1,
-                    capacity + member.limit(self.link_budget(id)),
+                    capacity + member.limit(self.link_budget(id, name)),
                     sum + member.average_answer_time(),
                 )
             },
@@ -180,6 +209,10 @@
         id: &GroupId,
         actions: &mut Vec<PoolAction>,
     ) {
+        let is_waiting = |group: &Group| !group.waiting.is_empty();
+        if !self.groups.get(id).is_some_and(is_waiting) {
+            return;
+        }
         self.update_group_homes(id);
         for pass in DispatchPass::ALL {
             let Some(group) = self.groups.get(id) else {
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -152,8 +152,10 @@
         self.sample_when_read(now, id, actions);
         self.search_primary(now, id, actions);
         let pending_cause = self.failover_cause(now, id);
-        self.update_group_homes(id);
-        let rank = self.own_rank(id);
+        let rank = match pending_cause {
+            Some(_) => self.own_rank(id),
+            None => 0,
+        };
         let store_is_lost = self.is_store_lost();
         let Some(group) = self.groups.get_mut(id) else {
             return;
@@ -190,17 +192,19 @@
 
     /// Keeps a recent sample of the primary's position while callers read from the group.
     fn sample_when_read(&mut self, now: MonoTime, id: &GroupId, actions: &mut Vec<PoolAction>) {
-        let is_read = self.active.iter().any(|caller| {
+        let reader = self.active.iter().find(|caller| {
             let current = self
                 .sessions
-                .get(caller)
+                .get(*caller)
                 .and_then(|session| session.current.as_ref());
             current.is_some_and(|current| {
                 current.route.group == *id && current.stage != Stage::Forwarded
             })
         });
-        if is_read {
-            self.sample_primary(now, id, actions);
+        if let Some(reader) = reader.copied()
+            && !self.sample_primary(now, id, actions)
+        {
+            self.request_position(now, reader, id, actions);
         }
     }
 
@@ -231,7 +235,8 @@
 
     /// Returns how many VMs rank before this one for replacing the group's primary. VMs that send
     /// the group more statements rank first, because they notice first that its primary has failed.
-    fn own_rank(&self, group: &GroupId) -> u32 {
+    fn own_rank(&mut self, group: &GroupId) -> u32 {
+        self.update_group_homes(group);
         let before = self.group_homes(group).rank_of(&self.settings.vm);
         u32::try_from(before).unwrap_or(u32::MAX)
     }
--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -19,6 +19,7 @@
 
 use crate::event::CallerReply;
 use crate::event::PoolAction;
+use crate::home::ServedBy;
 use crate::message::PoolMessage;
 use crate::pool::Pool;
 use crate::remote::is_remote;
@@ -264,12 +265,16 @@
         let workspace = &session.login.as_ref()?.workspace;
         let may_forward = current.forward_attempts < MAX_FORWARD_ATTEMPTS;
         let group = &current.route.group;
+        let needs_primary = will_need_primary(&current.operation, &current.route);
+        let served_by = match needs_primary {
+            true => ServedBy::Primary,
+            false => ServedBy::Replica,
+        };
         let home = may_forward
-            .then(|| self.forwarding_target(now, workspace, group))
+            .then(|| self.forwarding_target(now, workspace, group, served_by))
             .flatten();
         let home = home.or_else(|| {
-            let may_detour = current.forward_attempts <= MAX_FORWARD_ATTEMPTS
-                && will_need_primary(&current.operation, &current.route);
+            let may_detour = current.forward_attempts <= MAX_FORWARD_ATTEMPTS && needs_primary;
             may_detour
                 .then(|| self.vm_that_reaches_primary(now, group))
                 .flatten()
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::DataCentreId;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
@@ -14,6 +15,7 @@
 
 use crate::failover::Failover;
 use crate::member::Member;
+use crate::primary_position::SentRequest;
 
 /// The number of samples of the primary's position that are kept. At ten samples a second they
 /// cover the usual staleness bounds.
@@ -46,11 +48,15 @@
     pub(crate) primary_reached_by: Option<VmId>,
     /// The promotion with the highest fencing token that the platform has accepted.
     latest_promotion: Option<(MemberId, u64)>,
+    /// Whether a promotion was recorded since the primary was determined.
+    has_new_promotion: bool,
     samples: VecDeque<Sample>,
     /// Callers whose statements wait for a connection, in the order in which they are served.
     pub(crate) waiting: Vec<CallerId>,
     pub(crate) failover: Failover,
     pub(crate) is_sampling: bool,
+    /// The latest request to another VM for a position of the primary, unless it was answered.
+    pub(crate) position_request: Option<SentRequest>,
     /// When the members may next be asked which of them is the primary.
     pub(crate) next_primary_search: MonoTime,
 }
@@ -76,6 +82,22 @@
         self.members.len() + self.missing_members.iter().filter(may_return).count()
     }
 
+    /// Returns the data centre of the primary; `None` if none is known.
+    pub(crate) fn primary_data_centre(&self) -> Option<&DataCentreId> {
+        let primary = self.members.get(self.primary.as_ref()?)?;
+        Some(&primary.entry.data_centre)
+    }
+
+    /// Returns whether a replica that is not leaving runs in a data centre.
+    pub(crate) fn has_replica_in(&self, data_centre: &DataCentreId) -> bool {
+        let is_replica = |(id, member): (&MemberId, &Member)| {
+            self.primary.as_ref() != Some(id)
+                && member.entry.data_centre == *data_centre
+                && !member.entry.is_draining
+        };
+        self.members.iter().any(is_replica)
+    }
+
     /// Records a promotion that the platform accepted.
     pub(crate) fn record_promotion(&mut self, member: MemberId, token: u64) {
         if self
@@ -84,15 +106,25 @@
             .is_none_or(|known| known.1 < token)
         {
             self.latest_promotion = Some((member, token));
+            self.has_new_promotion = true;
         }
     }
 
+    /// Returns whether the members or the primary may differ from what they were when
+    /// [`Group::update_primary`] was last called: a promotion was recorded, or a member is missing
+    /// and may count as gone by now.
+    pub(crate) fn needs_refresh(&self) -> bool {
+        let is_missing = |member: &Member| member.missing_since.is_some();
+        self.has_new_promotion || self.members.values().any(is_missing)
+    }
+
     /// Determines the primary again and returns the store revision or fencing token that names it,
     /// or `None` if the primary has not changed.
     ///
     /// The revisions of entries and the fencing tokens of promotions come from the same counter,
     /// the revision of the store, so the highest one wins.
     pub(crate) fn update_primary(&mut self, now: MonoTime) -> Option<u64> {
+        self.has_new_promotion = false;
         let best = self.primary_by_evidence(now);
         let (member, evidence) =
             best.map_or((None, 0), |(member, revision)| (Some(member), revision));
@@ -143,6 +175,7 @@
         if known.as_ref().is_none_or(|known| known.0 != *member) {
             let revision = known.map_or(0, |known| known.1);
             self.latest_promotion = Some((member.clone(), revision.saturating_add(1)));
+            self.has_new_promotion = true;
         }
     }
 
@@ -164,7 +197,14 @@
 
     /// Returns when the statement of the latest sample was sent.
     pub(crate) fn sampled_at(&self) -> Option<MonoTime> {
-        self.samples.iter().map(|sample| sample.sent_at).max()
+        self.latest_sample().map(|(sent_at, _)| sent_at)
+    }
+
+    /// Returns the latest sample: when its statement was sent, and the position.
+    pub(crate) fn latest_sample(&self) -> Option<(MonoTime, Position)> {
+        let samples = self.samples.iter();
+        let samples = samples.map(|sample| (sample.sent_at, sample.position));
+        samples.max_by_key(|(sent_at, _)| *sent_at)
     }
 
     /// Returns the highest term reported by any member or sample.
--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -14,13 +14,17 @@
 
 use lycheedoor_core::types::DataCentreId;
 use lycheedoor_core::types::GroupId;
+use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 use lycheedoor_core::types::WorkspaceId;
 use lycheedoor_core::types::rendezvous_weight;
 use smallvec::SmallVec;
 
+use crate::config::PoolConfig;
 use crate::event::PoolAction;
+use crate::group::Group;
+use crate::member::Member;
 use crate::pool::Pool;
 use crate::report::Report;
 
@@ -28,6 +32,20 @@
 /// A small VM serves a few times as many.
 pub(crate) const RATE_PER_HOME_PER_S: u32 = 20;
 
+/// How many connections to a member a home needs to keep one for each of its workspaces that is in
+/// use. With more homes, each has too few and opens one for most of its statements.
+const CONNECTIONS_PER_HOME: u32 = 8;
+
+/// The highest sum of the rates of the workspaces in one cell, whose homes are three VMs.
+const MAX_RATE_PER_CELL_PER_S: u64 = 300;
+
+/// A home that may have to use a member in place of its usual one gets the share of this part of its
+/// rate.
+const STAND_IN_RATE_DIVISOR: u64 = 4;
+
+/// The most cells. With more of them, each would have only a few workspaces anyway.
+const MAX_CELLS: u32 = 1_024;
+
 /// Precision of the comparison of shares.
 const QUOTIENT_SCALE: u64 = 1_000_000;
 
@@ -38,6 +56,21 @@
 /// The maximum of that time. A VM that restarts is back after a few seconds.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
+/// Returns into how many cells the workspaces are divided. Those of a cell have the same homes.
+///
+/// There are as many as the connections that members accept suffice for, but enough that the VMs of
+/// a cell can serve its workspaces. The number follows from the configuration alone, and a power of
+/// two keeps it from changing with each rate.
+pub(crate) fn cell_count(config: &PoolConfig) -> u32 {
+    let groups = config.groups.values();
+    let connections = groups.map(|rule| rule.max_connections).min();
+    let by_connections = connections.unwrap_or(u32::MAX) / CONNECTIONS_PER_HOME;
+    let rates = config.rates.values().map(|rule| u64::from(rule.per_s));
+    let by_rate = rates.sum::<u64>().div_ceil(MAX_RATE_PER_CELL_PER_S);
+    let by_rate = u32::try_from(by_rate.next_power_of_two()).unwrap_or(u32::MAX);
+    by_connections.max(by_rate).min(MAX_CELLS)
+}
+
 /// The VMs that are home of some workspace in a group, and their shares of the connections that a
 /// member of the group accepts.
 #[derive(Clone, Debug, Default)]
@@ -145,6 +178,42 @@
     }
 }
 
+/// Which members of its group can run a statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServedBy {
+    /// Only the primary.
+    Primary,
+    /// A replica, if one is recent enough.
+    Replica,
+}
+
+/// The homes of a group that use each of its members.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct MemberHomes {
+    by_member: BTreeMap<MemberId, GroupHomes>,
+    /// The homes of statements that need the primary.
+    primary: GroupHomes,
+}
+
+impl MemberHomes {
+    /// Returns how many VMs have a higher rate of statements that need the primary.
+    pub(crate) fn rank_of(&self, vm: &VmId) -> usize {
+        self.primary.rank_of(vm)
+    }
+
+    /// Returns whether a VM may keep connections to a member that it does not use.
+    pub(crate) fn may_keep_unused(&self, member: &MemberId, vm: &VmId) -> bool {
+        let homes = self.by_member.get(member);
+        homes.is_some_and(|homes| homes.may_keep_unused(vm))
+    }
+
+    /// Returns how many connections a VM may open to a member.
+    pub(crate) fn connection_share(&self, member: &MemberId, vm: &VmId) -> u32 {
+        let homes = self.by_member.get(member);
+        homes.map_or(1, |homes| homes.connection_share(vm))
+    }
+}
+
 impl Pool {
     /// Returns the VM that a statement is forwarded to; `None` if it runs on this one, which may be
     /// the home itself or stand in for homes that do not accept statements.
@@ -153,22 +222,45 @@
         now: MonoTime,
         workspace: &WorkspaceId,
         group: &GroupId,
+        served_by: ServedBy,
     ) -> Option<VmId> {
         let is_usable = |vm: &VmId| *vm == self.settings.vm || self.is_peer_available(now, vm);
-        let home = self.homes(workspace, group).into_iter().find(is_usable)?;
+        let from = &self.settings.data_centre;
+        let slots = self.rates.share_slots(workspace);
+        let homes = self.homes(slots, group, served_by, from);
+        let home = homes.into_iter().find(is_usable)?;
         (home != self.settings.vm).then_some(home)
     }
 
+    /// Returns another VM that statements of a workspace which need the primary are forwarded to.
+    pub(crate) fn primary_home(
+        &self,
+        now: MonoTime,
+        workspace: &WorkspaceId,
+        group: &GroupId,
+    ) -> Option<VmId> {
+        self.forwarding_target(now, workspace, group, ServedBy::Primary)
+    }
+
     pub(crate) fn is_peer_available(&self, now: MonoTime, vm: &VmId) -> bool {
         let health = self.peer_health.get(vm);
         health.is_none_or(|health| health.unavailable_until <= now)
     }
 
-    /// Returns the VMs that may be home of a workspace in a group, the preferred one first. They are
-    /// those that hold a share of the workspace's rate. Their order is the same for all workspaces,
-    /// so that a group has fewer homes, which share the connections that its members accept.
-    fn homes(&self, workspace: &WorkspaceId, group: &GroupId) -> SmallVec<[VmId; 4]> {
-        let slots = self.rates.share_slots(workspace);
+    /// Returns the VMs that may be home of a workspace in a group, the preferred one first, for
+    /// statements that arrive in the data centre `from`. They are those of the slots that hold a share
+    /// of the workspace's rate. Their order is the same for all workspaces, so that a group has fewer homes,
+    /// which share the connections that its members accept.
+    ///
+    /// Statements and results are the bulk of what VMs send. So reads stay in the data centre where
+    /// they arrive if it has a replica, and other statements go to the data centre of the primary.
+    fn homes(
+        &self,
+        slots: &[u16],
+        group: &GroupId,
+        served_by: ServedBy,
+        from: &DataCentreId,
+    ) -> SmallVec<[VmId; 4]> {
         let vms = slots
             .iter()
             .filter_map(|slot| self.roster.vm_at(usize::from(*slot)));
@@ -179,21 +271,26 @@
         let mut homes: SmallVec<[VmId; 4]> = vms.filter(accepts_forwarded).cloned().collect();
         let weight =
             |vm: &VmId| rendezvous_weight(&[group.as_str().as_bytes(), vm.as_str().as_bytes()]);
-        let primary = self.primary_data_centre(group);
-        let is_near_primary = |vm: &VmId| {
-            let entry = self.roster.get(vm);
-            primary.is_some() && entry.and_then(|entry| entry.data_centre.as_ref()) == primary
+        let group = self.groups.get(group);
+        let primary = group.and_then(Group::primary_data_centre);
+        let has_replica = |data_centre: &DataCentreId| {
+            let is_usable = !self.evacuated.contains(data_centre);
+            is_usable && group.is_some_and(|group| group.has_replica_in(data_centre))
         };
-        homes.sort_by_cached_key(|vm| Reverse((is_near_primary(vm), weight(vm))));
+        homes.sort_by_cached_key(|vm| {
+            let entry = self.roster.get(vm);
+            let data_centre = entry.and_then(|entry| entry.data_centre.as_ref());
+            let preference = match (served_by, data_centre) {
+                (_, None) => 0,
+                (ServedBy::Primary, Some(_)) => u8::from(data_centre == primary),
+                (ServedBy::Replica, Some(data_centre)) if !has_replica(data_centre) => 0,
+                (ServedBy::Replica, Some(data_centre)) => 1 + u8::from(data_centre == from),
+            };
+            Reverse((preference, weight(vm)))
+        });
         homes
     }
 
-    fn primary_data_centre(&self, group: &GroupId) -> Option<&DataCentreId> {
-        let group = self.groups.get(group)?;
-        let primary = group.members.get(group.primary.as_ref()?)?;
-        Some(&primary.entry.data_centre)
-    }
-
     /// Computes the homes of a group unless they are known.
     pub(crate) fn update_group_homes(&mut self, group: &GroupId) {
         if !self.homes_by_group.contains_key(group) {
@@ -203,7 +300,7 @@
     }
 
     /// Returns the homes of a group.
-    pub(crate) fn group_homes(&self, group: &GroupId) -> Cow<'_, GroupHomes> {
+    pub(crate) fn group_homes(&self, group: &GroupId) -> Cow<'_, MemberHomes> {
         let known = self.homes_by_group.get(group);
         known.map_or_else(
             || Cow::Owned(self.compute_group_homes(group)),
@@ -211,16 +308,78 @@
         )
     }
 
-    fn compute_group_homes(&self, group: &GroupId) -> GroupHomes {
-        let limit = self.config.groups.get(group);
-        let limit = limit.map_or(1, |rule| rule.max_connections);
-        let mut rates: BTreeMap<VmId, u64> = BTreeMap::new();
+    /// Returns the sum of the rates of the workspaces whose shares are held by the same slots.
+    fn rates_by_slots(&self) -> BTreeMap<&[u16], u64> {
+        let mut rates = BTreeMap::new();
         for (workspace, rule) in &self.config.rates {
-            if let Some(home) = self.homes(workspace, group).into_iter().next() {
-                *rates.entry(home).or_default() += u64::from(rule.per_s);
+            let sum = rates.entry(self.rates.share_slots(workspace));
+            *sum.or_default() += u64::from(rule.per_s);
+        }
+        rates
+    }
+
+    /// Returns the VMs that the statements of all workspaces are forwarded to from one data centre,
+    /// with the sums of the rates.
+    fn rates_by_home(
+        &self,
+        rates_by_slots: &BTreeMap<&[u16], u64>,
+        group: &GroupId,
+        served_by: ServedBy,
+        from: &DataCentreId,
+    ) -> BTreeMap<VmId, u64> {
+        let mut rates: BTreeMap<VmId, u64> = BTreeMap::new();
+        for (slots, rate_per_s) in rates_by_slots {
+            let homes = self.homes(slots, group, served_by, from);
+            if let Some(home) = homes.into_iter().next() {
+                *rates.entry(home).or_default() += rate_per_s;
             }
         }
-        GroupHomes::new(rates, limit)
+        rates
+    }
+
+    fn compute_group_homes(&self, id: &GroupId) -> MemberHomes {
+        let limit = self.config.groups.get(id);
+        let limit = limit.map_or(1, |rule| rule.max_connections);
+        let own = &self.settings.data_centre;
+        let rates = self.rates_by_slots();
+        let of_primary = self.rates_by_home(&rates, id, ServedBy::Primary, own);
+        let primary = GroupHomes::new(of_primary.clone(), limit);
+        let Some(group) = self.groups.get(id) else {
+            let by_member = BTreeMap::new();
+            return MemberHomes { by_member, primary };
+        };
+        let mut of_replicas: BTreeMap<VmId, u64> = BTreeMap::new();
+        for data_centre in self.roster.data_centres() {
+            for (vm, rate) in self.rates_by_home(&rates, id, ServedBy::Replica, &data_centre) {
+                *of_replicas.entry(vm).or_default() += rate;
+            }
+        }
+        let is_near = |vm: &VmId, member: &Member| {
+            let entry = self.roster.get(vm);
+            let data_centre = entry.and_then(|entry| entry.data_centre.as_ref());
+            data_centre == Some(&member.entry.data_centre)
+        };
+        let by_member = group.members.iter().map(|(name, member)| {
+            let mut regular = match group.primary.as_ref() == Some(name) {
+                true => of_primary.clone(),
+                false => {
+                    let near = of_replicas.iter().filter(|(vm, _)| is_near(vm, member));
+                    near.map(|(vm, rate)| (vm.clone(), *rate)).collect()
+                }
+            };
+            // Other homes use the member while theirs fails or lacks recent commits.
+            let others = of_replicas.iter().chain(&of_primary);
+            let others = others.filter(|(vm, _)| !regular.contains_key(*vm));
+            let others = others.map(|(vm, rate)| (vm.clone(), rate / STAND_IN_RATE_DIVISOR));
+            let others: BTreeMap<VmId, u64> = others.collect();
+            let home_count = u32::try_from(regular.len() + others.len()).unwrap_or(u32::MAX);
+            if home_count <= limit / 2 {
+                regular.extend(others);
+            }
+            (name.clone(), GroupHomes::new(regular, limit))
+        });
+        let by_member = by_member.collect();
+        MemberHomes { by_member, primary }
     }
 
     /// Records that a VM did not accept a statement, or cannot be reached.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,6 +26,7 @@
 mod message;
 mod placement;
 mod pool;
+mod primary_position;
 mod probe;
 mod registration;
 mod relay;
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -1,5 +1,6 @@
 //! Handles connections to members that are refused, lost or abandoned, and their effect on callers.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use lycheedoor_core::types::CallerId;
@@ -68,7 +69,7 @@
             // The member is up but accepts no further connection for now.
             MemberFault::TooManyConnections | MemberFault::Busy => {
                 self.record_answer(now, id, None, actions);
-                let budget = self.link_budget(&group);
+                let budget = self.link_budget(&group, &member);
                 let is_overloaded = error.fault == MemberFault::Busy;
                 if let Some(member) = self.member_of(id) {
                     member.refused_connection(now);
@@ -132,14 +133,19 @@
     /// after the homes have changed.
     pub(crate) fn close_surplus_links(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let mut surplus = Vec::new();
+        let connected: BTreeSet<GroupId> =
+            self.links.values().map(|link| link.group.clone()).collect();
+        for id in &connected {
+            self.update_group_homes(id);
+        }
         for (id, group) in &self.groups {
             if group.members.values().all(|member| member.links == 0) {
                 continue;
             }
             let homes = self.group_homes(id);
-            let may_keep_unused = homes.may_keep_unused(&self.settings.vm);
-            let budget = homes.connection_share(&self.settings.vm);
             for (name, member) in &group.members {
+                let may_keep_unused = homes.may_keep_unused(name, &self.settings.vm);
+                let budget = homes.connection_share(name, &self.settings.vm);
                 let of_member = |link: &&Link| link.group == *id && link.member == *name;
                 let mut free: Vec<&Link> = self
                     .links
@@ -198,11 +204,13 @@
                 member.busy = member.busy.saturating_sub(1);
             }
         }
-        let Some(group) = self.links.get(&id).map(|link| link.group.clone()) else {
+        let link = self.links.get(&id);
+        let Some((group, member)) = link.map(|link| (link.group.clone(), link.member.clone()))
+        else {
             return;
         };
         self.dispatch_group(now, &group, actions);
-        let budget = self.link_budget(&group);
+        let budget = self.link_budget(&group, &member);
         let is_borrowed = self
             .member_of(id)
             .is_some_and(|member| member.links > budget);
--- a/crates/pool/src/member_answers.rs
+++ b/crates/pool/src/member_answers.rs
@@ -203,7 +203,7 @@
         let Some(group_id) = current.map(|current| current.route.group.clone()) else {
             return;
         };
-        let budget = self.link_budget(&group_id);
+        let budget = self.link_budget(&group_id, member);
         let Some(group) = self.groups.get_mut(&group_id) else {
             return;
         };
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -3,7 +3,9 @@
 use lycheedoor_core::rates::RatesMessage;
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::GroupId;
+use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MemberId;
+use lycheedoor_core::types::Position;
 use lycheedoor_core::types::RequestId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -39,6 +41,28 @@
         /// knows of no answer.
         heard_ms: Option<u64>,
     },
+    /// Asks for a recent log position of a group's primary.
+    AskPosition {
+        /// The group of the primary.
+        group: GroupId,
+        /// The sender's incarnation, which the answer repeats.
+        incarnation: Incarnation,
+        /// The number of the request at the sender, which the answer repeats.
+        number: RequestId,
+    },
+    /// The reply to `AskPosition`.
+    Position {
+        /// The group of the request.
+        group: GroupId,
+        /// The incarnation in the request.
+        incarnation: Incarnation,
+        /// The number of the request.
+        number: RequestId,
+        /// A position that holds all commits that were acknowledged before it was sampled.
+        position: Position,
+        /// Time since the sample, in milliseconds; at least the actual time.
+        age_ms: u64,
+    },
     /// Announces that the platform has accepted a promotion.
     Promoted {
         /// The group whose primary changes.
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -86,6 +86,10 @@
         let group = self.groups.get(&current.route.group)?;
         let workspace = &session.login.as_ref()?.workspace;
         let requirement = requirement_of(now, session, current, group);
+        let needs_position = requirement == Requirement::PrimaryOnly && !current.needs_primary;
+        if needs_position && self.awaits_position(now, &current.route.group) {
+            return None;
+        }
         let candidates = group
             .members
             .iter()
@@ -181,7 +185,7 @@
             return None;
         }
         let group = &member.entry.group;
-        let budget = self.link_budget(group);
+        let budget = self.link_budget(group, id);
         let replaces = match eviction_candidate(now, member, free) {
             Some(link) if member.links >= budget => Some(link.id),
             None if member.links >= budget + self.extra_link_allowance(now, group, id, member) => {
@@ -211,7 +215,7 @@
         let idle = self.links.values().filter(is_idle).count();
         u32::try_from(idle)
             .unwrap_or(u32::MAX)
-            .min(self.link_budget(group))
+            .min(self.link_budget(group, id))
     }
 
     fn cost(
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use lycheedoor_core::rates::MAX_TOKEN_WAIT;
-use lycheedoor_core::rates::RateDistribution;
 use lycheedoor_core::rates::Rates;
 use lycheedoor_core::rates::RatesEvent;
 use lycheedoor_core::types::CallerId;
@@ -24,11 +23,11 @@
 use crate::event::PoolEvent;
 use crate::failover::Failover;
 use crate::group::Group;
-use crate::home::GroupHomes;
+use crate::home::MemberHomes;
 use crate::home::PeerHealth;
-use crate::home::RATE_PER_HOME_PER_S;
 use crate::link::Link;
 use crate::message::PoolMessage;
+use crate::primary_position::ReceivedRequest;
 use crate::relay::StoreRelay;
 use crate::remote::RemoteCaller;
 use crate::roster::Roster;
@@ -96,7 +95,9 @@
     pub(crate) last_remote_caller: u64,
     pub(crate) peer_health: BTreeMap<VmId, PeerHealth>,
     /// Computed on demand; cleared when the configuration or the roster changes.
-    pub(crate) homes_by_group: BTreeMap<GroupId, GroupHomes>,
+    pub(crate) homes_by_group: BTreeMap<GroupId, MemberHomes>,
+    /// Requests of other VMs for positions of primaries that wait for a sample.
+    pub(crate) position_requests: Vec<ReceivedRequest>,
     last_link_number: u64,
     last_request_number: u64,
     /// Callers whose statement waits for a token of the rate limiter.
@@ -127,9 +128,6 @@
             (kind, watcher)
         };
         let mut rates = Rates::default();
-        rates.set_distribution(RateDistribution::Concentrated {
-            rate_per_slot: RATE_PER_HOME_PER_S,
-        });
         rates.set_start_tokens(settings.rate_slack / STARTS_WITHIN_RATE_SLACK);
         Self {
             settings,
@@ -146,6 +144,7 @@
             last_remote_caller: 0,
             peer_health: BTreeMap::new(),
             homes_by_group: BTreeMap::new(),
+            position_requests: Vec::new(),
             last_link_number: 0,
             last_request_number: 0,
             awaiting_admission: BTreeMap::new(),
@@ -219,6 +218,9 @@
             PoolEvent::DeadlineReached => {}
         }
         self.run_due_timers(now, actions);
+        if !self.position_requests.is_empty() {
+            self.answer_position_requests(now, actions);
+        }
         self.redirect_remote_replies(now, first_action, actions);
     }
 
@@ -289,7 +291,10 @@
         self.close_surplus_links(now, actions);
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in &groups {
-            self.refresh_group(now, group, actions);
+            let state = self.groups.get(group);
+            if state.is_some_and(Group::needs_refresh) {
+                self.refresh_group(now, group, actions);
+            }
             self.run_failover(now, group, actions);
             self.dispatch_group(now, group, actions);
         }
@@ -382,6 +387,20 @@
                 let since_contact = heard_ms.map(Duration::from_millis);
                 self.contact_answered(now, from, &group, &member, since_contact);
             }
+            PoolMessage::AskPosition {
+                group,
+                incarnation,
+                number,
+            } => self.position_requested(now, from, group, incarnation, number, actions),
+            PoolMessage::Position {
+                group,
+                incarnation,
+                number,
+                position,
+                age_ms,
+            } => {
+                self.position_received(now, &group, incarnation, number, position, age_ms, actions);
+            }
             PoolMessage::Promoted {
                 group,
                 member,
--- a/crates/pool/src/probe.rs
+++ b/crates/pool/src/probe.rs
@@ -27,27 +27,28 @@
 const MAX_SAMPLE_AGE: Duration = Duration::from_millis(500);
 
 impl Pool {
-    /// Takes a sample of the primary's position if reads of the group need a newer one.
+    /// Takes a sample of the primary's position if reads of the group need a newer one. Returns false
+    /// if one is needed, but this VM has no free connection to the primary.
     pub(crate) fn sample_primary(
         &mut self,
         now: MonoTime,
         id: &GroupId,
         actions: &mut Vec<PoolAction>,
-    ) {
+    ) -> bool {
         let Some(group) = self.groups.get_mut(id) else {
-            return;
+            return true;
         };
         let is_recent = |at| now.since(at) < MAX_SAMPLE_AGE;
         if group.is_sampling || group.sampled_at().is_some_and(is_recent) {
-            return;
+            return true;
         }
         let Some(primary) = group.primary.clone() else {
-            return;
+            return true;
         };
         let of_primary =
             |link: &&mut Link| link.group == *id && link.member == primary && link.is_free();
         let Some(link) = self.links.values_mut().find(of_primary) else {
-            return;
+            return false;
         };
         group.is_sampling = true;
         link.owner = Owner::Pool;
@@ -61,6 +62,7 @@
         if let Some(member) = self.member_of(link) {
             member.busy += 1;
         }
+        true
     }
 
     /// Opens a connection to each member that is considered down and is due for another attempt.
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -1,9 +1,11 @@
 //! The VMs of the fleet, as recorded in the platform's store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lycheedoor_core::rates::SlotOwner;
 use lycheedoor_core::types::DataCentreId;
 use lycheedoor_core::types::HeldSlot;
 use lycheedoor_core::types::Incarnation;
@@ -69,7 +71,11 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Roster {
     vms: BTreeMap<VmId, RosterVm>,
+    /// The names in order.
+    names: Vec<VmId>,
     version: u64,
+    /// Whether homes may differ since [`Roster::take_placement_change`] was called.
+    has_placement_changed: bool,
     /// The time from which this VM may use its shares; `None` while it is not in the roster.
     usable_from: Option<MonoTime>,
 }
@@ -79,13 +85,28 @@
     /// record is the version of the roster, so that VMs can compare their versions.
     pub(crate) fn set(&mut self, vm: VmId, entry: RosterVm, revision: u64) -> bool {
         self.version = self.version.max(revision);
-        self.vms.insert(vm, entry.clone()) != Some(entry)
+        let known = self.vms.insert(vm.clone(), entry.clone());
+        if known.is_none() {
+            let index = self.names.partition_point(|name| *name < vm);
+            self.names.insert(index, vm);
+        }
+        let placement = |entry: &RosterVm| (entry.accepts_forwarded, entry.data_centre.clone());
+        self.has_placement_changed |= known.as_ref().map(placement) != Some(placement(&entry));
+        known != Some(entry)
     }
 
     /// Removes a VM; returns whether the roster has changed.
     pub(crate) fn remove(&mut self, vm: &VmId, revision: u64) -> bool {
         self.version = self.version.max(revision);
-        self.vms.remove(vm).is_some()
+        self.names.retain(|name| name != vm);
+        let is_known = self.vms.remove(vm).is_some();
+        self.has_placement_changed |= is_known;
+        is_known
+    }
+
+    /// Returns whether VMs have come, gone or changed in what makes them homes since the last call.
+    pub(crate) fn take_placement_change(&mut self) -> bool {
+        std::mem::take(&mut self.has_placement_changed)
     }
 
     pub(crate) fn get(&self, vm: &VmId) -> Option<&RosterVm> {
@@ -98,13 +119,13 @@
 
     /// Returns the index of a VM in the order of names, or 0 if it is not in the roster.
     pub(crate) fn index_of(&self, vm: &VmId) -> u32 {
-        let index = self.vms.keys().position(|other| other == vm);
+        let index = self.names.binary_search(vm);
         index.map_or(0, |index| u32::try_from(index).unwrap_or(u32::MAX))
     }
 
     /// Returns the VM with an index in the order of names.
     pub(crate) fn vm_at(&self, index: usize) -> Option<&VmId> {
-        self.vms.keys().nth(index)
+        self.names.get(index)
     }
 
     /// Returns the next other VM in the order of names; after the last one comes the first.
@@ -123,6 +144,21 @@
         vms.map(|(vm, _)| vm)
     }
 
+    /// Returns the data centres of the VMs.
+    pub(crate) fn data_centres(&self) -> BTreeSet<DataCentreId> {
+        let vms = self.vms.values();
+        vms.filter_map(|entry| entry.data_centre.clone()).collect()
+    }
+
+    /// Returns the VMs by slot number.
+    pub(crate) fn slot_owners(&self) -> Vec<SlotOwner> {
+        let owner = |(vm, entry): (&VmId, &RosterVm)| SlotOwner {
+            vm: vm.clone(),
+            data_centre: entry.data_centre.clone(),
+        };
+        self.vms.iter().map(owner).collect()
+    }
+
     pub(crate) fn names(&self) -> impl Iterator<Item = &VmId> {
         self.vms.keys()
     }
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use lycheedoor_core::rates::RateDistribution;
 use lycheedoor_core::rates::RatesEvent;
 use lycheedoor_core::types::DataCentreId;
 use lycheedoor_core::types::GroupId;
@@ -11,6 +12,8 @@
 
 use crate::event::PoolAction;
 use crate::event::WriteOutcome;
+use crate::home::RATE_PER_HOME_PER_S;
+use crate::home::cell_count;
 use crate::member::Member;
 use crate::member::MemberEntry;
 use crate::pool::Pool;
@@ -85,6 +88,7 @@
                         Some(_) => self.evacuated.insert(data_centre),
                         None => self.evacuated.remove(&data_centre),
                     };
+                    self.homes_by_group.clear();
                 }
                 ObjectKind::Fleet => roster_changed |= self.apply_record(change, actions),
             }
@@ -106,6 +110,10 @@
                 let version = new_config.version;
                 self.config = new_config;
                 let rates_config = Arc::new(self.config.rates_config());
+                self.rates.set_distribution(RateDistribution::Concentrated {
+                    rate_per_slot: RATE_PER_HOME_PER_S,
+                    cells: cell_count(&self.config),
+                });
                 self.run_rates(now, RatesEvent::Configured(rates_config), actions);
                 self.homes_by_group.clear();
                 actions.push(PoolAction::Report(Report::ConfigurationApplied { version }));
@@ -148,6 +156,7 @@
                 }
             }
         }
+        self.homes_by_group.remove(&entry.group);
         self.refresh_group(now, &entry.group, actions);
         self.dispatch_group(now, &entry.group, actions);
     }
@@ -190,6 +199,7 @@
         let gone: Vec<_> = gone.map(|(member, _)| member.clone()).collect();
         for member in &gone {
             group.remove_member(now, member);
+            self.homes_by_group.remove(id);
         }
         if let Some(evidence) = group.update_primary(now) {
             self.homes_by_group.remove(id);
@@ -290,10 +300,11 @@
 
     pub(crate) fn update_rates_roster(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let view = self.roster.view(&self.settings.vm, now);
-        self.rates
-            .set_slot_names(self.roster.names().cloned().collect());
+        self.rates.set_slot_owners(self.roster.slot_owners());
         self.run_rates(now, RatesEvent::Roster(view), actions);
-        self.homes_by_group.clear();
+        if self.roster.take_placement_change() {
+            self.homes_by_group.clear();
+        }
         self.update_relays(now, actions);
     }
 }
--- a/crates/pool/src/timeouts.rs
+++ b/crates/pool/src/timeouts.rs
@@ -161,7 +161,7 @@
             self.note_member_failure(now, &group, &member, cause, actions);
         } else if !is_open {
             // The member answers on other connections, so it has no capacity for this one.
-            let budget = self.link_budget(&group);
+            let budget = self.link_budget(&group, &member);
             if let Some(member) = self.member_of(id) {
                 member.refused_connection(now);
                 member.overloaded(now, budget);
--- a/crates/pool/tests/fleet/mod.rs
+++ b/crates/pool/tests/fleet/mod.rs
@@ -71,6 +71,31 @@
     pub(crate) operations_per_vm: u32,
     /// Connections that a member accepts.
     pub(crate) max_connections: u32,
+    /// Whether a few workspaces send most of the operations.
+    pub(crate) is_skewed: bool,
+}
+
+impl FleetSize {
+    /// Returns the part of the load that a workspace has, in parts of [`FleetSize::total_weight`].
+    pub(crate) fn weight(self, workspace: u32) -> u32 {
+        if self.is_skewed {
+            workspace_weight(workspace)
+        } else {
+            1
+        }
+    }
+
+    pub(crate) fn total_weight(self) -> u32 {
+        (0..self.workspaces)
+            .map(|workspace| self.weight(workspace))
+            .sum()
+    }
+}
+
+/// Returns the part of a skewed load that a workspace has: that of the second one is half of that of
+/// the first, and so on.
+pub(crate) fn workspace_weight(workspace: u32) -> u32 {
+    10_000 / (workspace + 1)
 }
 
 /// What a fleet did in a run.
@@ -250,7 +275,12 @@
         self.next_caller += 1;
         let caller = CallerId(self.next_caller);
         let group = self.below(self.size.groups);
-        let workspace = self.below(self.size.workspaces);
+        let mut rest = self.below(self.size.total_weight());
+        let mut workspace = 0;
+        while rest >= self.size.weight(workspace) {
+            rest -= self.size.weight(workspace);
+            workspace += 1;
+        }
         let state = self.new_operation(vm);
         self.callers.insert(caller, state);
         self.handle(vm, PoolEvent::CallerConnected { caller });
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -25,6 +25,9 @@
 /// The rate limit of each workspace, in percent of its mean load.
 const RATE_PERCENT: u32 = 160;
 
+/// A rate limit below which random gaps between operations matter.
+const MIN_RATE_PER_S: u32 = 4;
+
 pub(super) fn vm_id(vm: u32) -> VmId {
     VmId::from(format!("vm-{vm}").as_str())
 }
@@ -70,10 +73,13 @@
         sync_replicas: 0,
         cold_per_s: None,
     };
-    let offered = size.operations_per_vm * size.vms / size.workspaces;
-    let rate = RateRule {
-        per_s: offered * RATE_PERCENT / 100,
-        burst: offered * RATE_PERCENT / 100,
+    let rate = |workspace: u32| {
+        let load = size.operations_per_vm * size.vms * RATE_PERCENT / 100;
+        let part = load * size.weight(workspace) / size.total_weight();
+        RateRule {
+            per_s: part.max(MIN_RATE_PER_S),
+            burst: part.max(MIN_RATE_PER_S),
+        }
     };
     PoolConfig {
         version: 1,
@@ -82,7 +88,7 @@
             .map(|group| (group_id(group), group_rule.clone()))
             .collect(),
         rates: (0..size.workspaces)
-            .map(|workspace| (workspace_id(workspace), rate))
+            .map(|workspace| (workspace_id(workspace), rate(workspace)))
             .collect(),
         keys: (0..size.workspaces)
             .map(|workspace| (format!("key-{workspace}"), workspace_id(workspace)))
--- a/crates/pool/tests/fleet_growth.rs
+++ b/crates/pool/tests/fleet_growth.rs
@@ -34,6 +34,7 @@
         workspaces: vms.min(87),
         operations_per_vm: 13,
         max_connections: MAX_CONNECTIONS,
+        is_skewed: false,
     });
     fleet.play(DURATION);
     fleet.counts
--- a/crates/pool/tests/forwarding_faults.rs
+++ b/crates/pool/tests/forwarding_faults.rs
@@ -16,6 +16,7 @@
         workspaces: 3,
         operations_per_vm: 30,
         max_connections: 30,
+        is_skewed: false,
     });
     fleet.set_faults(seed, faults);
     fleet.play(std::time::Duration::from_secs(3));
