--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -43,6 +43,10 @@
 /// rate.
 const STAND_IN_RATE_DIVISOR: u64 = 4;
 
+/// The most connections that are distributed. They are assigned one by one, and a member that accepts
+/// any number must not keep a VM busy.
+const MAX_DISTRIBUTED_CONNECTIONS: u32 = 10_000;
+
 /// The most cells. With more of them, each would have only a few workspaces anyway.
 const MAX_CELLS: u32 = 1_024;
 
@@ -96,6 +100,7 @@
     /// As many connections as the largest share are kept in reserve: after a VM loses power, its
     /// connections stay open at the member for seconds, and its successor has to connect at once.
     pub fn new(rates_per_s: BTreeMap<VmId, u64>, max_connections: u32) -> Self {
+        let max_connections = max_connections.min(MAX_DISTRIBUTED_CONNECTIONS);
         let homes = rates_per_s.into_iter().map(|(vm, rate_per_s)| GroupHome {
             vm,
             rate_per_s,
