--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -3,8 +3,9 @@
 //! A connection to a member belongs to one workspace. In a large fleet few statements would find an
 //! open connection of their workspace at the VM that the balancer chose, and a member does not
 //! accept a connection of each VM. So all VMs forward the statements of a workspace in a group to
-//! the same VM, which also holds a share of the workspace's rate. The choice follows from the
-//! configuration and the roster alone.
+//! the same few VMs, which also hold shares of the workspace's rate: writes to one beside the
+//! primary, reads to one beside the replica in the data centre where they arrive. The choice follows
+//! from the configuration, the roster and the members alone.
 
 use std::borrow::Cow;
 use std::cmp::Reverse;
@@ -32,8 +33,8 @@
 /// A small VM serves a few times as many.
 pub(crate) const RATE_PER_HOME_PER_S: u32 = 20;
 
-/// How many connections to a member a home needs to keep one for each of its workspaces that is in
-/// use. With more homes, each has too few and opens one for most of its statements.
+/// How many connections to a member a home needs in order to keep one for each workspace in use. With
+/// more homes, each has fewer and opens one for most of its statements.
 const CONNECTIONS_PER_HOME: u32 = 8;
 
 /// The highest sum of the rates of the workspaces in one cell, whose homes are three VMs.
