--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -293,6 +293,7 @@
         self.cold_left_ms = 0
         self.born = int(time.time() * 1000)
         self.runs = []  # (arrived at, id, text, tenant, transaction number)
+        self.keeps_logs_read = True
         self.logs_read = {}  # id of a read -> ids of the commits in the log that it ran on
         self.lock = threading.Lock()
         self.record = group.record
@@ -524,7 +525,8 @@
     def read(self, item, request):
         with self.member.group.lock:
             log = self.member.log
-            self.member.logs_read[request] = {entry[3] for entry in log}
+            if self.member.keeps_logs_read:
+                self.member.logs_read[request] = {entry[3] for entry in log}
             for _, _, writes, _ in reversed(log):
                 for name, data in writes:
                     if name == item:
