review: case 1, one kill and one freeze in each deployment

Each round now plays a deployment of its own, in which one process is killed once and one is frozen once; before, the killed process had been restarted by another kill.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,43 +13,31 @@
 
 from standins import TROUBLE, Client, Fleet, config  # noqa: E402
 
-ROUNDS = 12
+ROUNDS = 16
 SESSIONS = 16
 RESTART_DELAY_S = 0.3
 TENANTS = ["t-a", "t-b", "t-c", "t-d"]
 
-fleet = Fleet(FOLDER)
-ledger = fleet.group("ledger", work_s=0.06, slots=4)
-fleet.begin()
-routes = {"issue": ("ledger", "primary", {"timeoutMs": 2000})}
-fleet.store.put("config", "main", config(7, routes, {"ledger": {}}, TENANTS))
-home = fleet.vm("front-qld-a-1", "qld-a")  # in the zone of the primary
-front = fleet.vm("front-qld-b-1", "qld-b")
-fleet.start_all()
-time.sleep(1.0)
+main = Fleet(FOLDER)  # the record, and the limit of time
 answers = []  # (id, result)
-
-
-def connect():
-    """The sessions that clients open, in any order, once the VM is ready."""
-    clients = {}
-    for number in random.sample(range(SESSIONS), SESSIONS):
-        clients[number] = Client(front.front, "issue", f"key-{TENANTS[number % 4]}")
-    return clients
+members = []
 
 
 def write(number, client, request):
     sent = time.monotonic()
     _, result, ready = client.query(f"WRITE item{number} {request}", request)
-    fleet.record.line(f"client {number} sent {request}, after {time.monotonic() - sent:.3f} s: {result} / {ready}")
+    main.record.line(f"client {number} sent {request}, after {time.monotonic() - sent:.3f} s: {result} / {ready}")
     if ready:
         answers.append((request, result))
 
 
-def send_wave(clients, wave):
-    """Each session sends one write, in any order."""
+def send_wave(front, wave):
+    """Clients open their sessions, and each sends one write, both in any order."""
+    clients = {}
+    for number in random.sample(range(SESSIONS), SESSIONS):
+        clients[number] = Client(front.front, "issue", f"key-{TENANTS[number % 4]}")
     threads = []
-    for number in random.sample(sorted(clients), len(clients)):
+    for number in random.sample(range(SESSIONS), SESSIONS):
         arguments = (number, clients[number], f"{wave}-{number:02d}")
         threads.append(threading.Thread(target=write, args=arguments, daemon=True))
         threads[-1].start()
@@ -57,39 +45,47 @@
     return threads
 
 
-def restart_front():
-    front.signal(signal.SIGKILL)
-    front.process.wait()
-    time.sleep(RESTART_DELAY_S)
-    front.start()
-    if not front.wait_ready(5):
-        fleet.finish(2, "the VM did not start again")
-
-
-for number in range(ROUNDS):
-    if TROUBLE:
-        restart_front()
+def play_round(name):
+    """A new deployment, in which one process is killed and one is frozen, once each."""
+    fleet = Fleet(FOLDER, record=main.record)
+    ledger = fleet.group("ledger", work_s=0.06, slots=4)
+    members.extend(ledger.members)
+    fleet.begin()
+    routes = {"issue": ("ledger", "primary", {"timeoutMs": 2000})}
+    fleet.store.put("config", "main", config(7, routes, {"ledger": {}}, TENANTS))
+    home = fleet.vm("front-qld-a-1", "qld-a")  # in the zone of the primary
+    front = fleet.vm("front-qld-b-1", "qld-b")
+    fleet.start_all()
     time.sleep(1.0)
-    first = send_wave(connect(), f"round{number}a")
+    threads = send_wave(front, f"{name}a")
     time.sleep(0.02)
-    frozen_at = time.monotonic()
     if TROUBLE:
         home.signal(signal.SIGSTOP)
-        restart_front()
-    second = send_wave(connect(), f"round{number}b")
+        frozen_at = time.monotonic()
+        front.signal(signal.SIGKILL)
+        front.process.wait()
+        time.sleep(RESTART_DELAY_S)
+        front.start()
+        if not front.wait_ready(5):
+            main.finish(2, "the VM did not start again")
+    threads += send_wave(front, f"{name}b")
     time.sleep(0.05)
     if TROUBLE:
         home.signal(signal.SIGCONT)
-        fleet.record.line(f"{home.name} was frozen for {time.monotonic() - frozen_at:.3f} s")
-    for thread in first + second:
+        main.record.line(f"{home.name} was frozen for {time.monotonic() - frozen_at:.3f} s")
+    for thread in threads:
         thread.join(4)
-    time.sleep(0.5)
+    fleet.end()
+
+
+for number in range(ROUNDS):
+    play_round(f"round{number:02d}")
 
-signed = {signature: request for member in ledger.members for signature, request in member.signed.items()}
+signed = {signature: request for member in members for signature, request in member.signed.items()}
 mixed = []
 for request, result in answers:
     if result.startswith("DONE ") and signed.get(result[5:]) != request:
         mixed.append(request)
-        fleet.record.line(f"MIXED {request}: its client got success with the signature of {signed.get(result[5:])}")
+        main.record.line(f"MIXED {request}: its client got success with the signature of {signed.get(result[5:])}")
 text = f"{len(answers)} writes answered, {len(mixed)} of them with the success of another client's write"
-fleet.finish(1 if mixed else 0 if answers else 2, text)
+main.finish(1 if mixed else 0 if answers else 2, text)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -698,18 +698,23 @@
 class Fleet:
     """A small deployment: store, promotion call, services and VMs."""
 
-    def __init__(self, folder, zones=("qld-a", "qld-b", "qld-c")):
-        self.record = Record(folder)
-        self.record.line(f"TROUBLE={int(TROUBLE)}")
+    deployments = []  # all that this program has started
+
+    def __init__(self, folder, zones=("qld-a", "qld-b", "qld-c"), record=None):
+        self.deployments.append(self)
+        self.is_first = record is None
+        self.record = record or Record(folder)
         self.zones = zones
         self.temporary = tempfile.TemporaryDirectory(prefix="lycheedoor-review-")
         self.folder = Path(self.temporary.name)
         self.store = Store(self.record)
         self.groups, self.vms = [], []
         self.cloud = None
-        watchdog = threading.Timer(WATCHDOG_S, self.give_up)
-        watchdog.daemon = True
-        watchdog.start()
+        if self.is_first:
+            self.record.line(f"TROUBLE={int(TROUBLE)}")
+            watchdog = threading.Timer(WATCHDOG_S, self.give_up)
+            watchdog.daemon = True
+            watchdog.start()
 
     def group(self, name, work_s=0.02, lag_s=0.06, sync_replicas=0, zones=None, **options):
         group = Group(name, self.record, self.store, lag_s, sync_replicas=sync_replicas)
@@ -736,14 +741,19 @@
         if not all(vm.wait_ready() for vm in self.vms):
             self.finish(2, "a VM did not become ready")
 
-    def finish(self, code, text):
-        self.record.line(text)
+    def end(self):
+        """Ends the processes of this deployment."""
         keep = os.environ.get("KEEP_LOGS")
         for vm in self.vms:
             vm.end()
-            if keep:
+            if keep and vm.log.exists():
                 (Path(keep) / vm.log.name).write_bytes(vm.log.read_bytes())
         self.temporary.cleanup()
+
+    def finish(self, code, text):
+        self.record.line(text)
+        for fleet in self.deployments:
+            fleet.end()
         self.record.line(f"exit {code}")
         print(text, flush=True)
         os._exit(code)
