review: end the processes of a script also when it fails

Two trials that ended with a Python error had left their VMs running; they were ended by their ids. The stand-ins now end them on any exit of the script and on SIGTERM.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -4,6 +4,7 @@
 They follow PROTOCOL.md; where it is silent they behave like a sound server, client or platform.
 """
 
+import atexit
 import json
 import os
 import random
@@ -712,6 +713,8 @@
         self.cloud = None
         if self.is_first:
             self.record.line(f"TROUBLE={int(TROUBLE)}")
+            atexit.register(self.end_all)
+            signal.signal(signal.SIGTERM, lambda *_: self.finish(2, "ended by SIGTERM"))
             watchdog = threading.Timer(WATCHDOG_S, self.give_up)
             watchdog.daemon = True
             watchdog.start()
@@ -750,10 +753,13 @@
                 (Path(keep) / vm.log.name).write_bytes(vm.log.read_bytes())
         self.temporary.cleanup()
 
-    def finish(self, code, text):
-        self.record.line(text)
+    def end_all(self):
         for fleet in self.deployments:
             fleet.end()
+
+    def finish(self, code, text):
+        self.record.line(text)
+        self.end_all()
         self.record.line(f"exit {code}")
         print(text, flush=True)
         os._exit(code)
