Deliver replies to forwarded statements only to the process that sent them

Cause: each process numbers its sessions and statements from 1. A reply named the statement by these two numbers alone, and the home sends it to the address of the VM, where the next process listens. A home also looked up a sender's sessions by VM and number, so a late statement or end of a session of the earlier process ended the transaction of a session of its successor.

The home keeps sessions by VM, incarnation and number. What the restart used to clean up by chance (the next session with the same number) is now explicit: when the VM is registered with another incarnation, the transactions of the former one are rolled back. Single statements end by themselves.

The encoding of forwarded statements changes, so the record of a VM says under another name that it accepts them, and VMs of earlier builds are neither homes nor relays of VMs of this one.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -145,6 +145,22 @@
         Report::PeerAvailable { vm } => {
             emit_limited_by_kind(&events::HOME_BACK, &[vm.as_str().into()]);
         }
+        Report::ReplyIgnored {
+            vm,
+            incarnation,
+            session,
+            request,
+            cause,
+        } => {
+            let values = [
+                vm.as_str().into(),
+                incarnation.0.into(),
+                session.0.into(),
+                request.0.into(),
+                (*cause).into(),
+            ];
+            emit_limited_by_cause(&events::REPLY_IGNORED, cause, &values);
+        }
         Report::StoreSource { relay } => {
             let relay = relay.as_ref().map_or(ABSENT_VALUE, |vm| vm.as_str());
             emit_limited_by_kind(&events::STORE_SOURCE, &[relay.into()]);
--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::RequestId;
@@ -23,6 +24,7 @@
 use crate::message::PoolMessage;
 use crate::pool::Pool;
 use crate::remote::is_remote;
+use crate::report::Report;
 use crate::session::Operation;
 use crate::session::Session;
 use crate::session::Stage;
@@ -74,6 +76,9 @@
 /// The reply to a [`ForwardedRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardedReply {
+    /// The incarnation of the process that forwarded the statement. The receiver may be a later
+    /// process of its VM, which uses the same numbers.
+    pub(crate) incarnation: Incarnation,
     /// The session at the receiver.
     pub(crate) session: CallerId,
     /// The number of the statement at the receiver.
@@ -154,15 +159,23 @@
         actions: &mut Vec<PoolAction>,
     ) {
         let caller = reply.session;
-        let Some(session) = self.sessions.get_mut(&caller) else {
-            return;
-        };
-        let expected = session.current.as_ref().filter(|current| {
-            current.request == reply.request
-                && current.stage == Stage::Forwarded
-                && current.home.as_ref() == Some(from)
+        if reply.incarnation != self.settings.incarnation {
+            let cause = "statement of an earlier process";
+            return report_unexpected_reply(from, &reply, cause, actions);
+        }
+        let session = self.sessions.get_mut(&caller);
+        let expected = session.filter(|session| {
+            session.current.as_ref().is_some_and(|current| {
+                current.request == reply.request
+                    && current.stage == Stage::Forwarded
+                    && current.home.as_ref() == Some(from)
+            })
         });
-        let Some(current) = expected else {
+        let Some(session) = expected else {
+            let cause = "nobody waits for it";
+            return report_unexpected_reply(from, &reply, cause, actions);
+        };
+        let Some(current) = &session.current else {
             return;
         };
         let (group, route) = (current.route.group.clone(), Rc::clone(&current.route));
@@ -431,3 +444,18 @@
         }
     }
 }
+
+fn report_unexpected_reply(
+    from: &VmId,
+    reply: &ForwardedReply,
+    cause: &'static str,
+    actions: &mut Vec<PoolAction>,
+) {
+    actions.push(PoolAction::Report(Report::ReplyIgnored {
+        vm: from.clone(),
+        incarnation: reply.incarnation,
+        session: reply.session,
+        request: reply.request,
+        cause,
+    }));
+}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -30,6 +30,7 @@
 use crate::primary_position::ReceivedRequest;
 use crate::relay::StoreRelay;
 use crate::remote::RemoteCaller;
+use crate::remote::RemoteSession;
 use crate::roster::Roster;
 use crate::session::Session;
 use crate::stop::StopProgress;
@@ -90,8 +91,8 @@
     pub(crate) links: BTreeMap<ConnectionId, Link>,
     /// The sessions at other VMs for which this one runs a statement or a transaction.
     pub(crate) remote_callers: BTreeMap<CallerId, RemoteCaller>,
-    /// The numbers of these sessions here, by the VM and their number there.
-    pub(crate) remote_sessions: BTreeMap<(VmId, CallerId), CallerId>,
+    /// The numbers of these sessions here.
+    pub(crate) remote_sessions: BTreeMap<RemoteSession, CallerId>,
     pub(crate) last_remote_caller: u64,
     pub(crate) peer_health: BTreeMap<VmId, PeerHealth>,
     /// Computed on demand; cleared when the configuration or the roster changes.
@@ -420,7 +421,7 @@
                 self.forwarded_reply_received(now, from, *reply, actions);
             }
             PoolMessage::EndForwarded { session, latest } => {
-                self.forwarded_session_ended(now, from, session, latest, actions);
+                self.forwarded_session_ended(now, from, incarnation, session, latest, actions);
             }
             PoolMessage::FollowStore { revisions } => {
                 self.follower_asked(now, from, revisions, actions);
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -83,7 +83,7 @@
             revision,
             value: Some(ObjectValue::Fleet(self.own_record())),
         };
-        if self.apply_record(change, actions) {
+        if self.apply_record(now, change, actions) {
             self.update_rates_roster(now, actions);
         }
     }
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -146,6 +146,11 @@
         );
         let was_relay = self.relay.is_relay;
         self.relay.is_relay = relays.contains(own);
+        // Other builds pass on the records of VMs in another form.
+        relays.retain(|vm| {
+            let entry = self.roster.get(vm);
+            entry.is_some_and(|entry| entry.accepts_forwarded)
+        });
         // Followers are distributed over the relays.
         let preference =
             |vm: &VmId| rendezvous_weight(&[own.as_str().as_bytes(), vm.as_str().as_bytes()]);
--- a/crates/pool/src/remote.rs
+++ b/crates/pool/src/remote.rs
@@ -26,12 +26,19 @@
 /// Callers with at least this number are sessions at other VMs.
 const FIRST_REMOTE_CALLER: u64 = 1 << 63;
 
-/// The session at another VM for which this one runs a statement or a transaction.
-#[derive(Clone, Debug)]
-pub(crate) struct RemoteCaller {
+/// A session at another VM. Each process of a VM numbers its sessions from the start.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RemoteSession {
     vm: VmId,
     incarnation: Incarnation,
     session: CallerId,
+}
+
+/// The session at another VM for which this one runs a statement or a transaction, and the number
+/// of its latest statement there.
+#[derive(Clone, Debug)]
+pub(crate) struct RemoteCaller {
+    origin: RemoteSession,
     request: RequestId,
 }
 
@@ -50,17 +57,17 @@
         request: ForwardedRequest,
         actions: &mut Vec<PoolAction>,
     ) {
-        let origin = RemoteCaller {
-            vm: from.clone(),
-            incarnation,
-            session: request.session,
+        let sender = RemoteCaller {
+            origin: RemoteSession {
+                vm: from.clone(),
+                incarnation,
+                session: request.session,
+            },
             request: request.request,
         };
-        let known = self.remote_sessions.get(&(from.clone(), request.session));
-        let known = known.copied();
+        let known = self.remote_sessions.get(&sender.origin).copied();
         let remote = known.and_then(|caller| self.remote_callers.get(&caller));
-        let is_same_process = remote.is_some_and(|remote| remote.incarnation == incarnation);
-        if is_same_process && remote.is_some_and(|remote| remote.request >= request.request) {
+        if remote.is_some_and(|remote| remote.request >= request.request) {
             // The sender has given up this statement: its session has sent a later one, which came
             // over another connection.
             return;
@@ -68,7 +75,7 @@
         if request.in_transaction {
             let is_open = |caller: &CallerId| {
                 let session = self.sessions.get(caller);
-                is_same_process && session.is_some_and(|session| session.transaction.is_some())
+                session.is_some_and(|session| session.transaction.is_some())
             };
             let Some(caller) = known.filter(is_open) else {
                 let outcome = ForwardedOutcome::Failed {
@@ -77,9 +84,9 @@
                     state: TransactionState::Failed,
                     position: None,
                 };
-                return self.send_forwarded_reply(&origin, outcome, actions);
+                return self.send_forwarded_reply(&sender, outcome, actions);
             };
-            self.remote_callers.insert(caller, origin);
+            self.remote_callers.insert(caller, sender);
             return self.start_forwarded(now, caller, request, actions);
         }
         if let Some(caller) = known {
@@ -92,7 +99,7 @@
                 && self.vm_that_reaches_primary(now, &route.group).is_some()
         });
         if !is_serving || is_out_of_reach || self.config.version < request.version {
-            return self.send_forwarded_reply(&origin, ForwardedOutcome::NotAccepted, actions);
+            return self.send_forwarded_reply(&sender, ForwardedOutcome::NotAccepted, actions);
         }
         self.last_remote_caller += 1;
         let caller = CallerId(FIRST_REMOTE_CALLER + self.last_remote_caller);
@@ -103,9 +110,8 @@
             workspace: request.workspace.clone(),
         });
         self.sessions.insert(caller, session);
-        let key = (origin.vm.clone(), origin.session);
-        self.remote_sessions.insert(key, caller);
-        self.remote_callers.insert(caller, origin);
+        self.remote_sessions.insert(sender.origin.clone(), caller);
+        self.remote_callers.insert(caller, sender);
         self.start_forwarded(now, caller, request, actions);
     }
 
@@ -188,7 +194,7 @@
         reply: CallerReply,
         actions: &mut Vec<PoolAction>,
     ) {
-        let Some(origin) = self.remote_callers.get(&caller).cloned() else {
+        let Some(sender) = self.remote_callers.get(&caller).cloned() else {
             return;
         };
         let session = self.sessions.get(&caller);
@@ -226,7 +232,7 @@
                 position: None,
             },
         };
-        self.send_forwarded_reply(&origin, outcome, actions);
+        self.send_forwarded_reply(&sender, outcome, actions);
         let is_open = self.sessions.get(&caller).is_some_and(|session| {
             session.transaction_state() == TransactionState::Open || session.current.is_some()
         });
@@ -237,17 +243,18 @@
 
     pub(crate) fn send_forwarded_reply(
         &self,
-        origin: &RemoteCaller,
+        sender: &RemoteCaller,
         outcome: ForwardedOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
         let reply = ForwardedReply {
-            session: origin.session,
-            request: origin.request,
+            incarnation: sender.origin.incarnation,
+            session: sender.origin.session,
+            request: sender.request,
             outcome,
         };
         let message = PoolMessage::ForwardReply(Box::new(reply));
-        self.send_peer(&origin.vm, message, actions);
+        self.send_peer(&sender.origin.vm, message, actions);
     }
 
     /// Ends the session of a caller at another VM, and rolls back its transaction.
@@ -257,28 +264,55 @@
         caller: CallerId,
         actions: &mut Vec<PoolAction>,
     ) {
-        if let Some(origin) = self.remote_callers.remove(&caller) {
-            self.remote_sessions.remove(&(origin.vm, origin.session));
+        if let Some(sender) = self.remote_callers.remove(&caller) {
+            self.remote_sessions.remove(&sender.origin);
         }
         self.drop_session(now, caller, actions);
     }
 
+    /// Rolls back the transactions of a process that has been replaced by its VM's next one. No
+    /// session continues them. Single statements end by themselves.
+    pub(crate) fn drop_transactions_of(
+        &mut self,
+        now: MonoTime,
+        vm: &VmId,
+        incarnation: Incarnation,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let is_of_process = |(session, caller): &(&RemoteSession, &CallerId)| {
+            let open = self.sessions.get(caller);
+            session.vm == *vm
+                && session.incarnation == incarnation
+                && open.is_some_and(|session| session.transaction.is_some())
+        };
+        let ended = self.remote_sessions.iter().filter(is_of_process);
+        let ended: Vec<CallerId> = ended.map(|(_, caller)| *caller).collect();
+        for caller in ended {
+            self.drop_remote_session(now, caller, actions);
+        }
+    }
+
     /// Ends the session of a caller whose VM has reported that it needs it no longer.
     pub(crate) fn forwarded_session_ended(
         &mut self,
         now: MonoTime,
         from: &VmId,
+        incarnation: Incarnation,
         session: CallerId,
         latest: RequestId,
         actions: &mut Vec<PoolAction>,
     ) {
-        let key = (from.clone(), session);
-        let Some(caller) = self.remote_sessions.get(&key).copied() else {
+        let origin = RemoteSession {
+            vm: from.clone(),
+            incarnation,
+            session,
+        };
+        let Some(caller) = self.remote_sessions.get(&origin).copied() else {
             return;
         };
         // The message may have been overtaken by a later statement of the session.
-        let origin = self.remote_callers.get(&caller);
-        if origin.is_some_and(|origin| origin.request <= latest) {
+        let sender = self.remote_callers.get(&caller);
+        if sender.is_some_and(|sender| sender.request <= latest) {
             self.drop_remote_session(now, caller, actions);
         }
     }
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -4,7 +4,9 @@
 
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::GroupId;
+use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MemberId;
+use lycheedoor_core::types::RequestId;
 use lycheedoor_core::types::VmId;
 use lycheedoor_core::types::WorkspaceId;
 
@@ -163,6 +165,19 @@
         /// The VM that accepts statements again.
         vm: VmId,
     },
+    /// A reply of another VM to a forwarded statement was not used.
+    ReplyIgnored {
+        /// The VM that replied.
+        vm: VmId,
+        /// The incarnation of the process that forwarded the statement.
+        incarnation: Incarnation,
+        /// The session that sent the statement.
+        session: CallerId,
+        /// The number of the statement.
+        request: RequestId,
+        /// Why the reply was not used.
+        cause: &'static str,
+    },
     /// This VM reads changes of the store from another source.
     StoreSource {
         /// The VM that passes on what it reads; `None` if this VM reads the store itself.
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -35,9 +35,9 @@
         incarnation: Incarnation,
         /// The address to which peers send their messages.
         address: SocketAddr,
-        /// Whether the VM runs statements that others forward. Records of builds that cannot do so
-        /// lack the field.
-        #[serde(default)]
+        /// Whether the VM runs statements that others forward. Records of builds that cannot do so,
+        /// or that encode these messages differently, lack the field.
+        #[serde(default, rename = "accepts_forwarded_v2")]
         accepts_forwarded: bool,
         /// The data centre of the VM. Records of builds that do not pass on what they read from the
         /// store lack the field.
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -90,7 +90,7 @@
                     };
                     self.homes_by_group.clear();
                 }
-                ObjectKind::Fleet => roster_changed |= self.apply_record(change, actions),
+                ObjectKind::Fleet => roster_changed |= self.apply_record(now, change, actions),
             }
         }
         if roster_changed {
@@ -216,6 +216,7 @@
 
     pub(crate) fn apply_record(
         &mut self,
+        now: MonoTime,
         change: ObjectChange,
         actions: &mut Vec<PoolAction>,
     ) -> bool {
@@ -250,6 +251,10 @@
                     accepts_forwarded,
                     data_centre,
                 };
+                let former = self.roster.get(&vm).map(|former| former.incarnation);
+                if let Some(former) = former.filter(|former| *former != incarnation) {
+                    self.drop_transactions_of(now, &vm, former, actions);
+                }
                 self.roster.set(vm, entry, change.revision)
             }
             (Some(vm), None) => self.roster.remove(&vm, change.revision),
--- a/crates/pool/src/unreachable_primary.rs
+++ b/crates/pool/src/unreachable_primary.rs
@@ -64,8 +64,8 @@
 
     /// Gives a statement that has not run back to the VM that forwarded it.
     fn return_to_sender(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
-        if let Some(origin) = self.remote_callers.get(&caller).cloned() {
-            self.send_forwarded_reply(&origin, ForwardedOutcome::NotAccepted, actions);
+        if let Some(sender) = self.remote_callers.get(&caller).cloned() {
+            self.send_forwarded_reply(&sender, ForwardedOutcome::NotAccepted, actions);
             self.drop_remote_session(now, caller, actions);
         }
     }
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -28,111 +28,11 @@
 use support::PRIMARY;
 use support::PoolHarness;
 use support::config;
-
-const ENTRY: &str = "vm-2";
-const HOME: &str = "vm-1";
-
-/// Two VMs of a fleet: the one that callers are connected to, and the home of their workspace.
-struct Pair {
-    entry: PoolHarness,
-    home: PoolHarness,
-}
-
-impl Pair {
-    fn new() -> Self {
-        let mut pair = Self {
-            entry: PoolHarness::start_as(ENTRY, &[HOME], config(1)),
-            home: PoolHarness::start_as(HOME, &[ENTRY], config(1)),
-        };
-        // The buckets of a VM fill after its start.
-        pair.entry.advance(1_000);
-        pair.home.advance(1_000);
-        pair
-    }
-
-    /// Delivers messages in both directions until there are none.
-    fn deliver(&mut self) {
-        while deliver(&mut self.entry, ENTRY, &mut self.home)
-            || deliver(&mut self.home, HOME, &mut self.entry)
-        {}
-    }
-
-    /// Sends a statement and lets the home's members answer it.
-    fn run(&mut self, caller: CallerId, text: &str, number: u64) {
-        self.entry.query(caller, text);
-        self.deliver();
-        self.home.answer_all_commands(number);
-        self.deliver();
-    }
-
-    /// Opens a transaction that has run one statement at the home.
-    fn open_transaction(&mut self) -> CallerId {
-        let caller = self.entry.open_session("primary-db");
-        self.run(caller, "BEGIN", 1);
-        self.entry.query(caller, "WRITE x 1");
-        self.deliver();
-        self.home.accept_links();
-        while let Some((link, _)) = self.home.take_command(PRIMARY) {
-            self.home.succeed(link, TransactionState::Open, 1);
-        }
-        self.deliver();
-        assert!(self.entry.links.is_empty());
-        caller
-    }
-
-    fn lose_home(&mut self) {
-        let vm = VmId::from(HOME);
-        let unsent = Vec::new();
-        self.entry.event(PoolEvent::PeerLost { vm, unsent });
-    }
-
-    fn error(&self, caller: CallerId) -> Option<CallerError> {
-        match self.entry.last_reply(caller) {
-            Some(CallerReply::Failed { error, .. }) => Some(*error),
-            _ => None,
-        }
-    }
-
-    fn is_done(&self, caller: CallerId) -> bool {
-        matches!(
-            self.entry.last_reply(caller),
-            Some(CallerReply::Done { .. })
-        )
-    }
-}
-
-fn deliver(from: &mut PoolHarness, name: &str, to: &mut PoolHarness) -> bool {
-    let messages: Vec<PoolMessage> = from
-        .other_actions
-        .extract_if(.., |action| {
-            matches!(
-                action,
-                PoolAction::SendPeer { .. } | PoolAction::AnswerPeer { .. }
-            )
-        })
-        .filter_map(|action| match action {
-            PoolAction::SendPeer { message, .. } | PoolAction::AnswerPeer { message, .. } => {
-                Some(message)
-            }
-            _ => None,
-        })
-        .collect();
-    let is_any = !messages.is_empty();
-    for message in messages {
-        to.event(PoolEvent::PeerSent {
-            from: VmId::from(name),
-            incarnation: Incarnation(7),
-            message,
-        });
-    }
-    is_any
-}
-
-fn has_open_transaction(harness: &PoolHarness) -> bool {
-    let is_rollback = |command: &MemberCommand| *command == MemberCommand::Rollback;
-    let mut links = harness.links.values();
-    !links.any(|link| link.sent.iter().any(is_rollback))
-}
+use support::pair::ENTRY;
+use support::pair::HOME;
+use support::pair::Pair;
+use support::pair::deliver;
+use support::pair::has_open_transaction;
 
 /// Guards against connections to members on every VM that callers of a workspace are connected to.
 #[test]
@@ -307,12 +207,12 @@
     let mut pair = Pair::new();
     let caller = pair.entry.open_session("primary-db");
     pair.entry.query(caller, "WRITE x 1");
-    deliver(&mut pair.entry, ENTRY, &mut pair.home);
+    deliver(&mut pair.entry, &mut pair.home);
     pair.entry.advance(1_200);
     pair.entry.query(caller, "WRITE x 2");
     let replies = pair.entry.replies.len();
     pair.home.answer_all_commands(1);
-    deliver(&mut pair.home, HOME, &mut pair.entry);
+    deliver(&mut pair.home, &mut pair.entry);
     assert_eq!(pair.entry.replies.len(), replies);
 }
 
@@ -500,11 +400,11 @@
     pair.home.other_actions.clear();
     let caller = pair.entry.open_session("primary-db");
     pair.entry.query(caller, "WRITE x 1");
-    deliver(&mut pair.entry, ENTRY, &mut pair.home);
+    deliver(&mut pair.entry, &mut pair.home);
     assert!(pair.home.links.is_empty());
     let is_answered = true;
     pair.home.event(PoolEvent::StoreProbed { is_answered });
-    deliver(&mut pair.home, HOME, &mut pair.entry);
+    deliver(&mut pair.home, &mut pair.entry);
     pair.entry.answer_all_commands(1);
     assert!(pair.is_done(caller));
 }
@@ -517,9 +417,9 @@
     let caller = pair.entry.open_session("primary-db");
     pair.home.suspend(25_000);
     pair.entry.query(caller, "WRITE x 1");
-    deliver(&mut pair.entry, ENTRY, &mut pair.home);
+    deliver(&mut pair.entry, &mut pair.home);
     assert!(pair.home.links.is_empty());
-    deliver(&mut pair.home, HOME, &mut pair.entry);
+    deliver(&mut pair.home, &mut pair.entry);
     pair.entry.answer_all_commands(1);
     assert!(pair.is_done(caller));
     let is_answered = true;
--- a/crates/pool/tests/roster.rs
+++ b/crates/pool/tests/roster.rs
@@ -144,3 +144,32 @@
     harness.advance(1_000);
     assert!(is_served(&mut harness));
 }
+
+/// Guards against statements that are forwarded to a build which does not understand them: as a relay
+/// it passes on the records of VMs in another form, in which its own one says that it does.
+#[test]
+fn vm_of_a_build_without_forwarding_is_not_followed() {
+    for accepts_forwarded in [true, false] {
+        let mut harness = PoolHarness::with_peers(&["vm-2"]);
+        let record = FleetRecord::Vm {
+            incarnation: Incarnation(7),
+            address: ([127, 0, 0, 1], 7_560).into(),
+            accepts_forwarded,
+            data_centre: Some("north".into()),
+        };
+        let record = Some(ObjectValue::Fleet(record));
+        harness.change_object(ObjectKind::Fleet, "vm.vm-2", record);
+        harness.advance(3_000);
+        let is_request = |action: &PoolAction| {
+            matches!(
+                action,
+                PoolAction::SendPeer {
+                    message: PoolMessage::FollowStore { .. },
+                    ..
+                }
+            )
+        };
+        let is_asked = harness.other_actions.iter().any(is_request);
+        assert_eq!(is_asked, accepts_forwarded);
+    }
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -8,6 +8,8 @@
     reason = "clippy.toml allows it only inside test functions"
 )]
 
+pub(crate) mod pair;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,6 +59,10 @@
 pub(crate) const PRIMARY: &str = "m1";
 pub(crate) const KEY: &str = "key-of-acme";
 
+/// The incarnation of the first process of each VM, and that of the one after a restart.
+pub(crate) const INCARNATION: Incarnation = Incarnation(7);
+pub(crate) const RESTARTED: Incarnation = Incarnation(8);
+
 /// A connection that the pool has opened to a member.
 pub(crate) struct LinkState {
     pub(crate) member: String,
@@ -69,6 +75,8 @@
 /// A pool under test, with everything that it has sent and opened.
 pub(crate) struct PoolHarness {
     pub(crate) pool: Pool,
+    pub(crate) vm: VmId,
+    pub(crate) incarnation: Incarnation,
     pub(crate) now: MonoTime,
     pub(crate) links: BTreeMap<ConnectionId, LinkState>,
     pub(crate) replies: Vec<(CallerId, CallerReply)>,
@@ -171,20 +179,27 @@
         config: PoolConfig,
         rate_slack: u32,
     ) -> Self {
-        let mut harness = Self::create(vm, rate_slack);
+        let mut harness = Self::create(vm, INCARNATION, rate_slack);
+        harness.load(vm, peers, config);
+        harness
+    }
+
+    /// Creates the pool of the process that follows on the VM of the given name.
+    pub(crate) fn restart_as(vm: &str, peers: &[&str], config: PoolConfig) -> Self {
+        let mut harness = Self::create(vm, RESTARTED, 0);
         harness.load(vm, peers, config);
         harness
     }
 
     /// Creates a pool that has not read anything from the store.
     pub(crate) fn start_unloaded(vm: &str) -> Self {
-        Self::create(vm, 0)
+        Self::create(vm, INCARNATION, 0)
     }
 
-    fn create(vm: &str, rate_slack: u32) -> Self {
+    fn create(vm: &str, incarnation: Incarnation, rate_slack: u32) -> Self {
         let settings = PoolSettings {
             vm: VmId::from(vm),
-            incarnation: Incarnation(7),
+            incarnation,
             data_centre: DataCentreId::from("north"),
             peer_address: peer_address(),
             stop_grace: Duration::from_secs(6),
@@ -193,6 +208,8 @@
         };
         let mut harness = Self {
             pool: Pool::new(settings),
+            vm: VmId::from(vm),
+            incarnation,
             now: MonoTime::from_millis(1_000),
             links: BTreeMap::new(),
             replies: Vec::new(),
@@ -215,10 +232,12 @@
         let members = members.map(|entry| (entry.id.to_string(), ObjectValue::Member(entry)));
         self.load_objects(ObjectKind::Members, members.into());
         self.load_objects(ObjectKind::Evacuations, Vec::new());
+        let own = self.incarnation;
         let names = std::iter::once(vm).chain(peers.iter().copied());
         let records = names.map(|name| {
+            let is_own = *name == *vm;
             let record = FleetRecord::Vm {
-                incarnation: Incarnation(7),
+                incarnation: if is_own { own } else { INCARNATION },
                 address: peer_address(),
                 accepts_forwarded: true,
                 data_centre: None,
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -79,4 +79,5 @@
     &HOME_BACK,
     &STORE_SOURCE,
     &RELAY_LOST,
+    &REPLY_IGNORED,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -256,3 +256,13 @@
     "the VM that passed on changes of the store has failed",
     &["vm", "cause"],
 );
+
+/// LD-I-1123: a reply of another VM to a forwarded statement was not used.
+pub const REPLY_IGNORED: EventKind = event(
+    "LD-I-1123",
+    "reply_ignored",
+    Level::Info,
+    POOL,
+    "a reply of another VM to a forwarded statement was not used",
+    &["vm", "incarnation", "session", "request", "cause"],
+);
