Run a forwarded statement only in the group of its sender's configuration

During the cut their writes ran in the new group and their reads in the old one.

Cause: a home with a newer configuration than the sender ran the statement by its own route. The reply named no group, and the sender recorded the position of the commit under the group of its own, older route. The home in turn took the session's last commit, sent without its group, for one in the group of its own route.

Ruled out: naming the group in the reply alone. It would keep the position, but the session's statements would go on running in two groups, and by the newer and the older configuration in turn.

Change: a forwarded statement names the group, and a home whose route leads to another one does not run it. Both sides keep the position of a commit under the group that ran it.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -161,6 +161,10 @@
             ];
             emit_limited_by_cause(&events::REPLY_IGNORED, cause, &values);
         }
+        Report::RouteDiffers { vm, group, version } => {
+            let values = [vm.as_str().into(), group.as_str().into(), (*version).into()];
+            emit_limited_by_cause(&events::ROUTE_DIFFERS, vm.as_str(), &values);
+        }
         Report::StoreSource { relay } => {
             let relay = relay.as_ref().map_or(ABSENT_VALUE, |vm| vm.as_str());
             emit_limited_by_kind(&events::STORE_SOURCE, &[relay.into()]);
--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
@@ -58,10 +59,12 @@
     /// The version of the configuration with which the sender has checked the caller's access.
     pub(crate) version: u64,
     pub(crate) database: String,
+    /// The group that the route leads to in this configuration, or that the transaction runs in.
+    pub(crate) group: GroupId,
     pub(crate) workspace: WorkspaceId,
     /// The values of the session.
     pub(crate) values: Vec<(String, String)>,
-    /// The position of the session's last commit in the group.
+    /// The position of the session's last commit in this group.
     pub(crate) last_commit: Option<Position>,
     /// Whether the statement belongs to a transaction that is open at the receiver.
     pub(crate) in_transaction: bool,
@@ -91,12 +94,15 @@
 pub(crate) enum ForwardedOutcome {
     /// The sender has not handled the statement, and the receiver can run it elsewhere.
     NotAccepted,
+    /// The same, because a newer configuration of the sender leads to another group. The position of
+    /// a commit there would be unknown to the session's later reads.
+    OtherGroup,
     Done {
         rows: Bytes,
         signature: Option<String>,
         state: TransactionState,
         position: Option<Position>,
-        /// The position of the session's last commit in the group.
+        /// The position of the session's last commit in the group of the request.
         last_commit: Option<Position>,
     },
     Failed {
@@ -135,6 +141,7 @@
             request: current.request,
             version,
             database: login.database.clone(),
+            group: current.route.group.clone(),
             workspace: login.workspace.clone(),
             values: session.values.clone(),
             last_commit: session.last_commits.get(&current.route.group).copied(),
@@ -188,6 +195,16 @@
                 self.note_peer_unavailable(now, from, "statement not accepted", actions);
                 return self.forward_again(now, caller, actions);
             }
+            ForwardedOutcome::OtherGroup => {
+                let version = self.config.version;
+                let vm = from.clone();
+                actions.push(PoolAction::Report(Report::RouteDiffers {
+                    vm,
+                    group,
+                    version,
+                }));
+                return self.run_without_home(now, caller, actions);
+            }
             ForwardedOutcome::Done {
                 rows,
                 signature,
@@ -265,6 +282,15 @@
         self.admit_current(now, caller, &workspace, actions);
     }
 
+    /// Runs a statement that no home runs in its group on this VM.
+    fn run_without_home(&mut self, now: MonoTime, caller: CallerId, actions: &mut Vec<PoolAction>) {
+        let session = self.sessions.get_mut(&caller);
+        if let Some(current) = session.and_then(|session| session.current.as_mut()) {
+            current.forward_attempts = MAX_FORWARD_ATTEMPTS;
+        }
+        self.forward_again(now, caller, actions);
+    }
+
     /// Returns the VM to which a caller's current statement has to be forwarded, if any.
     pub(crate) fn home_of_current(&self, now: MonoTime, caller: CallerId) -> Option<VmId> {
         let session = self.sessions.get(&caller)?;
--- a/crates/pool/src/remote.rs
+++ b/crates/pool/src/remote.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lycheedoor_core::types::CallerId;
+use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::RequestId;
@@ -34,12 +35,14 @@
     session: CallerId,
 }
 
-/// The session at another VM for which this one runs a statement or a transaction, and the number
-/// of its latest statement there.
+/// The session at another VM for which this one runs a statement or a transaction.
 #[derive(Clone, Debug)]
 pub(crate) struct RemoteCaller {
     origin: RemoteSession,
+    /// The number of its latest statement there.
     request: RequestId,
+    /// The group in which this statement runs.
+    group: GroupId,
 }
 
 /// Returns whether a caller is a session at another VM.
@@ -64,6 +67,7 @@
                 session: request.session,
             },
             request: request.request,
+            group: request.group.clone(),
         };
         let known = self.remote_sessions.get(&sender.origin).copied();
         let remote = known.and_then(|caller| self.remote_callers.get(&caller));
@@ -101,6 +105,9 @@
         if !is_serving || is_out_of_reach || self.config.version < request.version {
             return self.send_forwarded_reply(&sender, ForwardedOutcome::NotAccepted, actions);
         }
+        if route.is_some_and(|route| route.group != request.group) {
+            return self.send_forwarded_reply(&sender, ForwardedOutcome::OtherGroup, actions);
+        }
         self.last_remote_caller += 1;
         let caller = CallerId(FIRST_REMOTE_CALLER + self.last_remote_caller);
         let mut session = Session::new(caller);
@@ -149,7 +156,7 @@
             return self.reply_error(caller, CallerError::Aborted, text, actions);
         }
         if let Some(position) = request.last_commit {
-            session.record_commit(&route.group, position);
+            session.record_commit(&request.group, position);
         }
         let started_at = now - Duration::from_millis(request.age_ms);
         let (id, text, operation) = (request.id, request.text, request.operation);
@@ -211,7 +218,7 @@
                 state,
                 position,
                 last_commit: session
-                    .and_then(|session| session.last_commits.values().max())
+                    .and_then(|session| session.last_commits.get(&sender.group))
                     .copied(),
             },
             CallerReply::Failed {
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -178,6 +178,16 @@
         /// Why the reply was not used.
         cause: &'static str,
     },
+    /// The configuration of a statement's home leads to another group than the one of this VM, which
+    /// runs the statement itself.
+    RouteDiffers {
+        /// The home.
+        vm: VmId,
+        /// The group by the configuration of this VM.
+        group: GroupId,
+        /// The version of that configuration.
+        version: u64,
+    },
     /// This VM reads changes of the store from another source.
     StoreSource {
         /// The VM that passes on what it reads; `None` if this VM reads the store itself.
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -80,4 +80,5 @@
     &STORE_SOURCE,
     &RELAY_LOST,
     &REPLY_IGNORED,
+    &ROUTE_DIFFERS,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -266,3 +266,13 @@
     "a reply of another VM to a forwarded statement was not used",
     &["vm", "incarnation", "session", "request", "cause"],
 );
+
+/// LD-I-1124: the configuration of a statement's home leads to another group.
+pub const ROUTE_DIFFERS: EventKind = event(
+    "LD-I-1124",
+    "route_differs",
+    Level::Info,
+    POOL,
+    "the configuration of a statement's home leads to another group; it runs on this VM",
+    &["vm", "group", "version"],
+);
