Play killed and stopped VMs in the randomized tests of forwarding

No process was replaced, all members gave the same signature, the sessions of all VMs were numbered together, and callers paused after each answer, so no run could show a result of another statement, or a session in steady use.

Change: processes are killed and stopped during the run, number their sessions from 1, and get messages that were meant for the one before. Members sign each statement differently; callers whose connection ends with a statement that the VM has received count as a violation.

--- a/crates/pool/tests/fleet/mod.rs
+++ b/crates/pool/tests/fleet/mod.rs
@@ -45,8 +45,10 @@
 use lycheedoor_pool::Statement;
 use lycheedoor_pool::TransactionState;
 
+use setup::FIRST_INCARNATION;
 use setup::config;
 use setup::members;
+use setup::record;
 use setup::records;
 use setup::settings;
 use setup::vm_id;
@@ -58,6 +60,12 @@
 const OPEN_TIME: Duration = Duration::from_millis(12);
 const ANSWER_TIME: Duration = Duration::from_millis(8);
 
+/// The revision of the store when the first processes have read it.
+const LOADED_REVISION: u64 = 10_000;
+
+/// Time from the beginning of a planned stop until the load balancer sends no new callers.
+const BALANCER_DELAY: Duration = Duration::from_secs(2);
+
 /// How long a run goes on after the last operation was sent.
 pub(crate) const PLAYED_AFTER: Duration = Duration::from_secs(2);
 
@@ -126,6 +134,14 @@
     pub(crate) lost_links_per_mille: u32,
     /// Statements that a member refuses to run.
     pub(crate) refusals_per_mille: u32,
+    /// Operations at whose VM the process is killed afterwards and starts again.
+    pub(crate) kills_per_mille: u32,
+    /// Operations at whose VM a planned stop begins, after which the process starts again.
+    pub(crate) stops_per_mille: u32,
+    /// Time by which the answers of members are late.
+    pub(crate) answer_delay_ms: u32,
+    /// Whether callers send one operation after the other without a pause until they are closed.
+    pub(crate) is_steady: bool,
 }
 
 struct Link {
@@ -139,9 +155,13 @@
     answered_at: MonoTime,
 }
 
+/// A caller: its VM, and the number of its session there. Each process numbers them from 1.
+type CallerKey = (usize, CallerId);
+
 /// What a caller does after it has opened its session.
 struct Caller {
-    vm: usize,
+    /// Whether the VM has received a statement that it has not answered.
+    awaits_answer: bool,
     attempt: u64,
     /// The statements that are still to send, last one first.
     remaining: Vec<(&'static str, Statement)>,
@@ -151,17 +171,42 @@
     writes: Vec<String>,
 }
 
+impl Caller {
+    /// Returns the identifier of the latest statement.
+    fn last_id(&self) -> String {
+        self.statement_id(self.next_statement.saturating_sub(1))
+    }
+
+    fn statement_id(&self, number: u32) -> String {
+        let kind = if self.is_transaction { 't' } else { 's' };
+        format!("{}-{kind}-{number}", self.attempt)
+    }
+}
+
+/// Returns the signature with which members confirm that they have run a statement.
+fn signature(statement: &str) -> String {
+    format!("signature of {statement}")
+}
+
 pub(crate) struct Fleet {
     size: FleetSize,
     pools: Vec<Pool>,
     now: MonoTime,
     queue: BinaryHeap<Reverse<(MonoTime, u64, usize)>>,
-    events: BTreeMap<u64, PoolEvent>,
+    /// Events of the future. Those of a process end with it.
+    events: BTreeMap<u64, (Incarnation, PoolEvent)>,
     next_event: u64,
-    next_caller: u64,
+    incarnations: Vec<Incarnation>,
+    next_callers: Vec<u64>,
+    /// Whether the next statement is sent without a pause.
+    sends_at_once: bool,
+    /// When the planned stop of each VM began, if it is stopping.
+    stopping_since: Vec<Option<MonoTime>>,
+    /// The revision of the store.
+    revision: u64,
     next_attempt: u64,
     links: BTreeMap<(usize, ConnectionId), Link>,
-    callers: BTreeMap<CallerId, Caller>,
+    callers: BTreeMap<CallerKey, Caller>,
     faults: Faults,
     /// Messages on their way, by receiver and sender.
     in_flight: BTreeMap<(usize, usize), Vec<u64>>,
@@ -179,15 +224,20 @@
 impl Fleet {
     /// Starts a fleet whose VMs have read the configuration, the members and the roster.
     pub(crate) fn start(size: FleetSize) -> Self {
-        let pools = (0..size.vms).map(|vm| Pool::new(settings(vm))).collect();
+        let pools = (0..size.vms).map(|vm| Pool::new(settings(vm, FIRST_INCARNATION)));
+        let vms = size.vms as usize;
         let mut fleet = Self {
             size,
-            pools,
+            pools: pools.collect(),
             now: MonoTime::from_millis(1_000),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next_event: 0,
-            next_caller: 0,
+            incarnations: vec![FIRST_INCARNATION; vms],
+            next_callers: vec![0; vms],
+            sends_at_once: false,
+            stopping_since: vec![None; vms],
+            revision: LOADED_REVISION,
             next_attempt: 0,
             links: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -201,20 +251,69 @@
             random: 0x9e37_79b9_7f4a_7c15,
             counts: FleetCounts::default(),
         };
-        let config = Rc::new(config(size));
         for vm in 0..fleet.pools.len() {
-            fleet.handle(vm, PoolEvent::DeadlineReached);
-            let value = ObjectValue::Config(Rc::clone(&config));
-            fleet.load(vm, ObjectKind::Configuration, vec![("main".into(), value)]);
-            fleet.load(vm, ObjectKind::Members, members(size));
-            fleet.load(vm, ObjectKind::Evacuations, Vec::new());
-            fleet.load(vm, ObjectKind::Fleet, records(size));
+            fleet.load_all(vm);
         }
         fleet.run(Duration::from_secs(1));
         fleet.counts = FleetCounts::default();
         fleet
     }
 
+    /// Lets the process of a VM read everything from the store.
+    fn load_all(&mut self, vm: usize) {
+        let size = self.size;
+        self.handle(vm, PoolEvent::DeadlineReached);
+        let value = ObjectValue::Config(Rc::new(config(size)));
+        self.load(vm, ObjectKind::Configuration, vec![("main".into(), value)]);
+        self.load(vm, ObjectKind::Members, members(size));
+        self.load(vm, ObjectKind::Evacuations, Vec::new());
+        self.load(vm, ObjectKind::Fleet, records(size));
+        for other in 0..self.pools.len() {
+            if self.incarnations[other] != FIRST_INCARNATION {
+                self.announce(vm, other);
+            }
+        }
+    }
+
+    /// Reports the present record of `about` to a VM.
+    fn announce(&mut self, vm: usize, about: usize) {
+        self.revision += 1;
+        let (name, value) = record(u32::try_from(about).unwrap(), self.incarnations[about]);
+        let change = ObjectChange {
+            name,
+            revision: self.revision,
+            value: Some(value),
+        };
+        let answer = ObjectAnswer::Events {
+            changes: vec![change],
+            revision: self.revision,
+        };
+        let kind = ObjectKind::Fleet;
+        self.schedule(PEER_DELAY, vm, PoolEvent::ObjectsRead { kind, answer });
+    }
+
+    /// Ends the process of a VM and starts the next one. Messages on their way to the VM reach the
+    /// new process; its connections and its callers are gone.
+    fn replace_process(&mut self, vm: usize) {
+        let number = u32::try_from(vm).unwrap();
+        self.incarnations[vm] = Incarnation(self.incarnations[vm].0 + 1);
+        self.pools[vm] = Pool::new(settings(number, self.incarnations[vm]));
+        self.next_callers[vm] = 0;
+        self.stopping_since[vm] = None;
+        self.callers.retain(|(of, _), _| *of != vm);
+        let ended = self.links.extract_if(.., |(of, _), _| *of == vm);
+        for (_, link) in ended {
+            *self.connections.get_mut(&link.member).unwrap() -= 1;
+        }
+        self.load_all(vm);
+        for other in (0..self.pools.len()).filter(|other| *other != vm) {
+            let unsent = Vec::new();
+            let lost = vm_id(number);
+            self.schedule(PEER_DELAY, other, PoolEvent::PeerLost { vm: lost, unsent });
+            self.announce(other, vm);
+        }
+    }
+
     fn load(&mut self, vm: usize, kind: ObjectKind, objects: Vec<(String, ObjectValue)>) {
         let objects = objects.into_iter().zip(1..);
         let objects = objects.map(|((name, value), revision)| ObjectChange {
@@ -225,7 +324,7 @@
         let answer = ObjectAnswer::Page {
             objects: objects.collect(),
             next_after: None,
-            revision: 10_000,
+            revision: LOADED_REVISION,
         };
         self.handle(vm, PoolEvent::ObjectsRead { kind, answer });
     }
@@ -259,7 +358,16 @@
             && at <= self.now
         {
             self.queue.pop();
-            if let Some(event) = self.events.remove(&number) {
+            if let Some((incarnation, event)) = self.events.remove(&number) {
+                let is_message = matches!(event, PoolEvent::PeerSent { .. });
+                if !is_message && incarnation != self.incarnations[vm] {
+                    continue;
+                }
+                if let PoolEvent::CallerSent { caller, .. } = &event
+                    && let Some(state) = self.callers.get_mut(&(vm, *caller))
+                {
+                    state.awaits_answer = true;
+                }
                 self.handle(vm, event);
             }
         }
@@ -271,9 +379,13 @@
     }
 
     fn send_operation(&mut self, vm: usize) {
+        let is_drained = |since: MonoTime| self.now.since(since) >= BALANCER_DELAY;
+        if self.stopping_since[vm].is_some_and(is_drained) {
+            return;
+        }
         self.counts.sent += 1;
-        self.next_caller += 1;
-        let caller = CallerId(self.next_caller);
+        self.next_callers[vm] += 1;
+        let caller = CallerId(self.next_callers[vm]);
         let group = self.below(self.size.groups);
         let mut rest = self.below(self.size.total_weight());
         let mut workspace = 0;
@@ -281,19 +393,27 @@
             rest -= self.size.weight(workspace);
             workspace += 1;
         }
-        let state = self.new_operation(vm);
-        self.callers.insert(caller, state);
+        let state = self.new_operation();
+        self.callers.insert((vm, caller), state);
         self.handle(vm, PoolEvent::CallerConnected { caller });
         let request = CallerRequest::Start {
             database: format!("db-{group}"),
             key: format!("key-{workspace}"),
         };
         self.handle(vm, PoolEvent::CallerSent { caller, request });
-        self.send_next(caller);
+        self.sends_at_once = false;
+        self.send_next((vm, caller));
+        if self.is_chosen(self.faults.kills_per_mille) {
+            self.replace_process(vm);
+        }
+        if self.stopping_since[vm].is_none() && self.is_chosen(self.faults.stops_per_mille) {
+            self.stopping_since[vm] = Some(self.now);
+            self.handle(vm, PoolEvent::StopRequested);
+        }
     }
 
     /// Chooses the statements of the next operation of a caller.
-    fn new_operation(&mut self, vm: usize) -> Caller {
+    fn new_operation(&mut self) -> Caller {
         let is_write = self.below(4) == 0;
         let is_transaction = self.faults.max_peer_delay_ms > 0 && self.below(2) == 0;
         let statement = match is_write {
@@ -316,7 +436,7 @@
         };
         self.next_attempt += 1;
         Caller {
-            vm,
+            awaits_answer: false,
             attempt: self.next_attempt,
             remaining,
             next_statement: 0,
@@ -326,26 +446,28 @@
     }
 
     /// Sends the next statement of a caller; returns false if there is none.
-    fn send_next(&mut self, caller: CallerId) -> bool {
-        let Some(state) = self.callers.get_mut(&caller) else {
+    fn send_next(&mut self, (vm, caller): CallerKey) -> bool {
+        let Some(state) = self.callers.get_mut(&(vm, caller)) else {
             return false;
         };
         let Some((text, statement)) = state.remaining.pop() else {
             return false;
         };
-        let kind = if state.is_transaction { 't' } else { 's' };
-        let id = format!("{}-{kind}-{}", state.attempt, state.next_statement);
+        let id = state.statement_id(state.next_statement);
         state.next_statement += 1;
         if statement == Statement::Run(Access::Write) {
             state.writes.push(id.clone());
         }
-        let vm = state.vm;
         let request = CallerRequest::Query {
             id,
             text: text.to_owned(),
             statement: Some(statement),
         };
-        self.schedule(STEP, vm, PoolEvent::CallerSent { caller, request });
+        let pause = match self.sends_at_once {
+            true => Duration::ZERO,
+            false => STEP,
+        };
+        self.schedule(pause, vm, PoolEvent::CallerSent { caller, request });
         true
     }
 
@@ -383,7 +505,14 @@
 
     fn execute(&mut self, vm: usize, action: PoolAction) {
         match action {
-            PoolAction::Reply { caller, reply } => self.reply(vm, caller, reply),
+            PoolAction::Reply { caller, reply } => self.reply((vm, caller), reply),
+            PoolAction::CloseCaller { caller } => self.caller_closed((vm, caller)),
+            PoolAction::Exit => {
+                let left = self.callers.range((vm, CallerId(0))..(vm + 1, CallerId(0)));
+                let left: Vec<CallerKey> = left.map(|(key, _)| *key).collect();
+                left.into_iter().for_each(|key| self.caller_closed(key));
+                self.replace_process(vm);
+            }
             PoolAction::OpenLink { link, member, .. } => {
                 self.counts.opened_connections += 1;
                 let open = self.connections.entry(member.clone()).or_default();
@@ -445,7 +574,7 @@
         let extra = self.below(self.faults.max_peer_delay_ms + 1);
         let event = PoolEvent::PeerSent {
             from: vm_id(u32::try_from(from).unwrap()),
-            incarnation: Incarnation(7),
+            incarnation: self.incarnations[from],
             message,
         };
         let delay = PEER_DELAY + Duration::from_millis(extra.into());
@@ -511,7 +640,8 @@
             }
             return self.schedule(ANSWER_TIME, vm, PoolEvent::LinkClosed { link: id });
         }
-        let mut result = Ok("signature".to_owned());
+        let signed = forwarded.map(|(statement, _)| signature(statement));
+        let mut result = Ok(signed.unwrap_or_default());
         let delay = match (command, forwarded) {
             (MemberCommand::Begin { .. }, _) => {
                 link.in_transaction = true;
@@ -538,6 +668,7 @@
         let link = self.links.get_mut(&(vm, id)).unwrap();
         let in_transaction = link.in_transaction;
         // Answers of a connection arrive in order.
+        let delay = delay + Duration::from_millis(self.faults.answer_delay_ms.into());
         let due = (self.now + delay).max(link.answered_at);
         link.answered_at = due;
         let delay = due.since(self.now);
@@ -555,10 +686,42 @@
         self.schedule(delay, vm, PoolEvent::LinkAnswered { link: id, answer });
     }
 
-    fn reply(&mut self, vm: usize, caller: CallerId, reply: CallerReply) {
+    /// Handles the end of a caller's connection by its VM.
+    fn caller_closed(&mut self, caller: CallerKey) {
+        if let Some(state) = self.callers.remove(&caller)
+            && state.awaits_answer
+        {
+            let violation = format!("attempt {} got no answer", state.attempt);
+            self.violations.push(violation);
+        }
+    }
+
+    fn reply(&mut self, caller: CallerKey, reply: CallerReply) {
+        let Some(state) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        if reply != CallerReply::Started {
+            state.awaits_answer = false;
+        }
+        let last_id = state.last_id();
+        // Callers that are refused would be refused again at the same time.
+        let is_served = matches!(
+            reply,
+            CallerReply::Done {
+                signature: Some(_),
+                ..
+            }
+        );
+        self.sends_at_once = self.faults.is_steady && is_served;
         let state = match reply {
             CallerReply::Started => return,
-            CallerReply::Done { state, .. } => {
+            CallerReply::Done {
+                state, signature, ..
+            } => {
+                if signature.is_some_and(|signed| signed != self::signature(&last_id)) {
+                    let violation = format!("{last_id} got the success of another statement");
+                    self.violations.push(violation);
+                }
                 if self.send_next(caller) {
                     return;
                 }
@@ -576,8 +739,9 @@
                 TransactionState::Idle
             }
         };
-        if self.faults.max_peer_delay_ms > 0 && self.below(4) > 0 {
-            let mut next = self.new_operation(vm);
+        let goes_on = self.faults.max_peer_delay_ms > 0 && self.below(4) > 0;
+        if goes_on || self.faults.is_steady {
+            let mut next = self.new_operation();
             if state != TransactionState::Idle {
                 next.remaining.push(("ROLLBACK", Statement::Rollback));
             }
@@ -587,10 +751,11 @@
             return;
         }
         self.callers.remove(&caller);
+        let (vm, caller) = caller;
         self.schedule(Duration::ZERO, vm, PoolEvent::CallerClosed { caller });
     }
 
-    fn record_error(&mut self, caller: CallerId, error: CallerError, text: &str) {
+    fn record_error(&mut self, caller: CallerKey, error: CallerError, text: &str) {
         let state = self.callers.get(&caller).unwrap();
         let denies = matches!(
             error,
@@ -609,7 +774,8 @@
 
     fn schedule(&mut self, delay: Duration, vm: usize, event: PoolEvent) {
         self.next_event += 1;
-        self.events.insert(self.next_event, event);
+        let incarnation = self.incarnations[vm];
+        self.events.insert(self.next_event, (incarnation, event));
         let due = self.now + delay;
         self.queue.push(Reverse((due, self.next_event, vm)));
     }
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -28,6 +28,9 @@
 /// A rate limit below which random gaps between operations matter.
 const MIN_RATE_PER_S: u32 = 4;
 
+/// The incarnation of the first process of each VM.
+pub(super) const FIRST_INCARNATION: Incarnation = Incarnation(7);
+
 pub(super) fn vm_id(vm: u32) -> VmId {
     VmId::from(format!("vm-{vm}").as_str())
 }
@@ -40,10 +43,10 @@
     DataCentreId::from(format!("dc-{}", number % 3).as_str())
 }
 
-pub(super) fn settings(vm: u32) -> PoolSettings {
+pub(super) fn settings(vm: u32, incarnation: Incarnation) -> PoolSettings {
     PoolSettings {
         vm: vm_id(vm),
-        incarnation: Incarnation(7),
+        incarnation,
         data_centre: data_centre(vm),
         peer_address: address(vm),
         stop_grace: Duration::from_secs(6),
@@ -119,14 +122,18 @@
 }
 
 pub(super) fn records(size: FleetSize) -> Vec<(String, ObjectValue)> {
-    let records = (0..size.vms).map(|vm| {
-        let record = FleetRecord::Vm {
-            incarnation: Incarnation(7),
-            address: address(vm),
-            accepts_forwarded: true,
-            data_centre: Some(data_centre(vm)),
-        };
-        (format!("vm.{}", vm_id(vm)), ObjectValue::Fleet(record))
-    });
-    records.collect()
+    (0..size.vms)
+        .map(|vm| record(vm, FIRST_INCARNATION))
+        .collect()
+}
+
+/// Returns the name and the record of a VM.
+pub(super) fn record(vm: u32, incarnation: Incarnation) -> (String, ObjectValue) {
+    let record = FleetRecord::Vm {
+        incarnation,
+        address: address(vm),
+        accepts_forwarded: true,
+        data_centre: Some(data_centre(vm)),
+    };
+    (format!("vm.{}", vm_id(vm)), ObjectValue::Fleet(record))
 }
