--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -268,7 +268,7 @@
 
     /// Writes as much of the log as its reader accepts, and logs how many lines were dropped while
     /// it did not read.
-    fn write_log(&self) {
+    pub(crate) fn write_log(&self) {
         self.log.flush();
         let dropped = self.log.take_dropped_count();
         if dropped > 0 {
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -73,6 +73,7 @@
             Ok(_) => "in force",
         };
         emit(&events::SETTINGS_RELOADED, &[FieldValue::from(result)]);
+        self.write_log();
         if let Ok(changed) = read {
             self.apply(cx, changed.reloadable);
         }
