Let homes finish the writes of a VM that exits

Cause: a VM that exits told the homes that it needs its statements no longer, so that they closed the connections of writes and commits in progress there. Their callers have been told that the outcome is unknown; nothing is gained by making it so.

Change: only transactions that cannot be committed any more are ended there. The comment on statements of another group says what each side does.

--- a/crates/pool/src/forward.rs
+++ b/crates/pool/src/forward.rs
@@ -94,8 +94,8 @@
 pub(crate) enum ForwardedOutcome {
     /// The sender has not handled the statement, and the receiver can run it elsewhere.
     NotAccepted,
-    /// The same, because a newer configuration of the sender leads to another group. The position of
-    /// a commit there would be unknown to the session's later reads.
+    /// The sender has not handled the statement, since its newer configuration leads to another group
+    /// than that of the receiver. The receiver runs it itself, in the group whose commits it records.
     OtherGroup,
     Done {
         rows: Bytes,
--- a/crates/pool/src/stop.rs
+++ b/crates/pool/src/stop.rs
@@ -176,7 +176,7 @@
     }
 
     /// Fails a caller's current statement. Only a commit or a single write that was sent may have
-    /// taken effect; a transaction that is not committed is rolled back.
+    /// taken effect, and a home finishes it; a transaction that is not committed is rolled back.
     fn answer_unfinished_statement(
         &mut self,
         now: MonoTime,
@@ -202,9 +202,6 @@
         };
         let is_commit = matches!(current.operation, Operation::Commit);
         let is_read = current.operation.access() == Access::Read;
-        if current.stage == Stage::Forwarded {
-            self.end_at_home(session, actions);
-        }
         let in_transaction = session.transaction.is_some();
         let error = match (was_sent, in_transaction, is_commit) {
             (true, true, true) => CallerError::InDoubt,
