Move the members of the randomized tests into a module of their own

Change: connections, signatures and answers of members are in members.rs; the three runs of forwarding_faults share their final checks. No check changes.

--- a/crates/pool/tests/fleet/mod.rs
+++ b/crates/pool/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
     reason = "clippy.toml allows it only inside test functions"
 )]
 
+mod members;
 mod setup;
 
 use std::cmp::Reverse;
@@ -16,7 +17,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use lycheedoor_core::types::CallerId;
 use lycheedoor_core::types::ConnectionId;
 use lycheedoor_core::types::Incarnation;
@@ -28,11 +28,6 @@
 use lycheedoor_pool::CallerError;
 use lycheedoor_pool::CallerReply;
 use lycheedoor_pool::CallerRequest;
-use lycheedoor_pool::ForwardedStatement;
-use lycheedoor_pool::MemberAnswer;
-use lycheedoor_pool::MemberCommand;
-use lycheedoor_pool::MemberError;
-use lycheedoor_pool::MemberFault;
 use lycheedoor_pool::ObjectAnswer;
 use lycheedoor_pool::ObjectCall;
 use lycheedoor_pool::ObjectChange;
@@ -45,9 +40,11 @@
 use lycheedoor_pool::Statement;
 use lycheedoor_pool::TransactionState;
 
+use members::Link;
+use members::signature;
 use setup::FIRST_INCARNATION;
 use setup::config;
-use setup::members;
+use setup::member_entries;
 use setup::record;
 use setup::records;
 use setup::settings;
@@ -144,17 +141,6 @@
     pub(crate) is_steady: bool,
 }
 
-struct Link {
-    member: MemberId,
-    in_transaction: bool,
-    is_lost: bool,
-    /// The attempt of a caller whose transaction is open.
-    transaction_of: Option<u64>,
-    /// The writes that take effect with the commit.
-    uncommitted: Vec<String>,
-    answered_at: MonoTime,
-}
-
 /// A caller: its VM, and the number of its session there. Each process numbers them from 1.
 type CallerKey = (usize, CallerId);
 
@@ -183,11 +169,6 @@
     }
 }
 
-/// Returns the signature with which members confirm that they have run a statement.
-fn signature(statement: &str) -> String {
-    format!("signature of {statement}")
-}
-
 pub(crate) struct Fleet {
     size: FleetSize,
     pools: Vec<Pool>,
@@ -265,7 +246,7 @@
         self.handle(vm, PoolEvent::DeadlineReached);
         let value = ObjectValue::Config(Rc::new(config(size)));
         self.load(vm, ObjectKind::Configuration, vec![("main".into(), value)]);
-        self.load(vm, ObjectKind::Members, members(size));
+        self.load(vm, ObjectKind::Members, member_entries(size));
         self.load(vm, ObjectKind::Evacuations, Vec::new());
         self.load(vm, ObjectKind::Fleet, records(size));
         for other in 0..self.pools.len() {
@@ -583,109 +564,6 @@
         in_flight.push(self.next_event);
     }
 
-    /// Runs a statement at a member and checks it against the transaction of its connection.
-    fn run_statement(&mut self, key: (usize, ConnectionId), id: &str, text: &str) {
-        let link = self.links.get_mut(&key).unwrap();
-        let mut parts = id.split('-');
-        let attempt: u64 = parts.next().unwrap().parse().unwrap();
-        let is_transaction = parts.next() == Some("t");
-        let is_write = text.starts_with("WRITE");
-        if is_transaction {
-            let is_other = |owner: u64| owner != attempt;
-            if !link.in_transaction || link.transaction_of.is_some_and(is_other) {
-                let violation = format!("{id} ran outside of its transaction");
-                self.violations.push(violation);
-            }
-            link.transaction_of = Some(attempt);
-        } else if link.transaction_of.is_some() || is_write && link.in_transaction {
-            let violation = format!("{id} ran inside a transaction");
-            self.violations.push(violation);
-        }
-        match text {
-            "COMMIT" => {
-                link.in_transaction = false;
-                link.transaction_of = None;
-                for write in std::mem::take(&mut link.uncommitted) {
-                    *self.effects.entry(write).or_default() += 1;
-                }
-            }
-            _ if is_write && is_transaction => link.uncommitted.push(id.to_owned()),
-            _ if is_write => *self.effects.entry(id.to_owned()).or_default() += 1,
-            _ => {}
-        }
-    }
-
-    fn answer(&mut self, vm: usize, id: ConnectionId, command: &MemberCommand) {
-        let is_refused = self.is_chosen(self.faults.refusals_per_mille);
-        let is_lost = self.is_chosen(self.faults.lost_links_per_mille);
-        let runs_before_loss = self.below(2) == 0;
-        let Some(link) = self.links.get_mut(&(vm, id)) else {
-            return;
-        };
-        if link.is_lost {
-            return;
-        }
-        link.is_lost = is_lost;
-        let forwarded = match command {
-            MemberCommand::Forward {
-                id,
-                statement: ForwardedStatement::AsSent(text),
-                ..
-            } => Some((id, text)),
-            _ => None,
-        };
-        if is_lost {
-            if let Some((statement, text)) = forwarded.filter(|_| runs_before_loss) {
-                self.run_statement((vm, id), statement, text);
-            }
-            return self.schedule(ANSWER_TIME, vm, PoolEvent::LinkClosed { link: id });
-        }
-        let signed = forwarded.map(|(statement, _)| signature(statement));
-        let mut result = Ok(signed.unwrap_or_default());
-        let delay = match (command, forwarded) {
-            (MemberCommand::Begin { .. }, _) => {
-                link.in_transaction = true;
-                PEER_DELAY
-            }
-            (MemberCommand::Rollback, _) => {
-                link.in_transaction = false;
-                link.transaction_of = None;
-                link.uncommitted.clear();
-                PEER_DELAY
-            }
-            (_, Some((_, text))) if is_refused && text != "COMMIT" => {
-                let text = "refused".to_owned();
-                let fault = MemberFault::Busy;
-                result = Err(MemberError { fault, text });
-                PEER_DELAY
-            }
-            (_, Some((statement, text))) => {
-                self.run_statement((vm, id), statement, text);
-                ANSWER_TIME
-            }
-            _ => ANSWER_TIME,
-        };
-        let link = self.links.get_mut(&(vm, id)).unwrap();
-        let in_transaction = link.in_transaction;
-        // Answers of a connection arrive in order.
-        let delay = delay + Duration::from_millis(self.faults.answer_delay_ms.into());
-        let due = (self.now + delay).max(link.answered_at);
-        link.answered_at = due;
-        let delay = due.since(self.now);
-        let state = match in_transaction {
-            true => TransactionState::Open,
-            false => TransactionState::Idle,
-        };
-        let answer = MemberAnswer {
-            rows: Bytes::from_static(b"ROW x\r\n"),
-            result,
-            state,
-            position: Some(Position::new(Term(1), 1)),
-            status: None,
-        };
-        self.schedule(delay, vm, PoolEvent::LinkAnswered { link: id, answer });
-    }
-
     /// Handles the end of a caller's connection by its VM.
     fn caller_closed(&mut self, caller: CallerKey) {
         if let Some(state) = self.callers.remove(&caller)
@@ -716,9 +594,11 @@
         let state = match reply {
             CallerReply::Started => return,
             CallerReply::Done {
-                state, signature, ..
+                state,
+                signature: signed,
+                ..
             } => {
-                if signature.is_some_and(|signed| signed != self::signature(&last_id)) {
+                if signed.is_some_and(|signed| signed != signature(&last_id)) {
                     let violation = format!("{last_id} got the success of another statement");
                     self.violations.push(violation);
                 }
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -100,7 +100,7 @@
     }
 }
 
-pub(super) fn members(size: FleetSize) -> Vec<(String, ObjectValue)> {
+pub(super) fn member_entries(size: FleetSize) -> Vec<(String, ObjectValue)> {
     let numbers = (0..size.groups).flat_map(|group| (0..3).map(move |member| (group, member)));
     let entries = numbers.map(|(group, member)| {
         let id = format!("m-{group}-{member}");
--- a/crates/pool/tests/forwarding_faults.rs
+++ b/crates/pool/tests/forwarding_faults.rs
@@ -30,6 +30,12 @@
     fleet
 }
 
+fn expect_no_violations(fleet: &Fleet, seed: u64) {
+    let violations = fleet.violations();
+    assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    assert!(fleet.counts.served > 0, "seed {seed}");
+}
+
 /// Guards against statements outside of their transaction or inside another one, and against writes
 /// that are repeated or committed although the caller was told otherwise.
 #[test]
@@ -44,9 +50,7 @@
             ..Faults::default()
         };
         let fleet = play(seed, faults);
-        let violations = fleet.violations();
-        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
-        assert!(fleet.counts.served > 0, "seed {seed}");
+        expect_no_violations(&fleet, seed);
     }
 }
 
@@ -63,9 +67,7 @@
             ..Faults::default()
         };
         let fleet = play(seed, faults);
-        let violations = fleet.violations();
-        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
-        assert!(fleet.counts.served > 0, "seed {seed}");
+        expect_no_violations(&fleet, seed);
     }
 }
 
@@ -84,8 +86,6 @@
         let mut fleet = start(2);
         fleet.set_faults(seed, faults);
         fleet.play(std::time::Duration::from_secs(8));
-        let violations = fleet.violations();
-        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
-        assert!(fleet.counts.served > 0, "seed {seed}");
+        expect_no_violations(&fleet, seed);
     }
 }
