Switch adaptive load on by configuration, and state the messages that a VM understands

Cause: new parts must work only where a configuration asks for them, and new messages between VMs would close the connections of VMs of older builds during a rolling update.

--- a/crates/pool/src/config.rs
+++ b/crates/pool/src/config.rs
@@ -49,6 +49,10 @@
     /// The maximum number of statements per second, over all VMs, to a member that has just
     /// started and is cold; `None` without such a limit.
     pub cold_per_s: Option<f64>,
+    /// Whether the load on members follows how they answer. Configurations that state limits for
+    /// cold members leave it off; so do those that VMs of older builds pass on.
+    #[serde(default)]
+    pub is_adaptive: bool,
 }
 
 /// The rate limit of a workspace, over the whole fleet.
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -10,6 +10,7 @@
 use crate::event::WriteOutcome;
 use crate::pool::Pool;
 use crate::roster::FleetRecord;
+use crate::roster::MESSAGE_VERSION;
 use crate::store::ObjectChange;
 use crate::store::ObjectKind;
 use crate::store::ObjectValue;
@@ -68,6 +69,7 @@
             address: self.settings.peer_address,
             accepts_forwarded: true,
             data_centre: Some(self.settings.data_centre.clone()),
+            message_version: MESSAGE_VERSION,
         }
     }
 
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -25,6 +25,11 @@
 /// it as long as its record exists.
 const SHARE_TIME_TO_LIVE: Duration = Duration::from_secs(10 * 365 * 24 * 3600);
 
+/// The version of the messages between VMs that this build understands. A VM sends a message only to
+/// VMs whose record states at least the version that introduced it, since a build that does not know
+/// a message closes the connection.
+pub(crate) const MESSAGE_VERSION: u32 = 1;
+
 /// A record of the fleet in the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -43,6 +48,10 @@
         /// store lack the field.
         #[serde(default)]
         data_centre: Option<DataCentreId>,
+        /// Which messages the VM understands; see [`MESSAGE_VERSION`]. Records of builds before
+        /// version 1 lack the field.
+        #[serde(default)]
+        message_version: u32,
     },
     /// The latest claim to replace the primary of a group. The revision of this record is the
     /// fencing token of the claim, so no two claims share a token.
@@ -65,6 +74,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) accepts_forwarded: bool,
     pub(crate) data_centre: Option<DataCentreId>,
+    pub(crate) message_version: u32,
 }
 
 /// The VMs of the fleet by name.
@@ -137,6 +147,12 @@
         next.cloned()
     }
 
+    /// Returns whether a VM understands the messages of a version.
+    pub(crate) fn understands(&self, vm: &VmId, message_version: u32) -> bool {
+        self.get(vm)
+            .is_some_and(|entry| entry.message_version >= message_version)
+    }
+
     /// Returns the VMs of a data centre.
     pub(crate) fn names_in(&self, data_centre: &DataCentreId) -> impl Iterator<Item = &VmId> {
         let vms = self.vms.iter();
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -243,6 +243,7 @@
                     address,
                     accepts_forwarded,
                     data_centre,
+                    message_version,
                 })),
             ) => {
                 let entry = RosterVm {
@@ -250,6 +251,7 @@
                     address,
                     accepts_forwarded,
                     data_centre,
+                    message_version,
                 };
                 let former = self.roster.get(&vm).map(|former| former.incarnation);
                 if let Some(former) = former.filter(|former| *former != incarnation) {
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -75,6 +75,7 @@
         max_connections: size.max_connections,
         sync_replicas: 0,
         cold_per_s: None,
+        is_adaptive: false,
     };
     let rate = |workspace: u32| {
         let load = size.operations_per_vm * size.vms * RATE_PERCENT / 100;
@@ -133,6 +134,7 @@
         incarnation,
         address: address(vm),
         accepts_forwarded: true,
+        message_version: 0,
         data_centre: Some(data_centre(vm)),
     };
     (format!("vm.{}", vm_id(vm)), ObjectValue::Fleet(record))
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -267,6 +267,7 @@
         incarnation: Incarnation(8),
         address: ([127, 0, 0, 1], 7_560).into(),
         accepts_forwarded: true,
+        message_version: 0,
         data_centre: None,
     };
     harness.change_object(
@@ -328,6 +329,7 @@
         incarnation: Incarnation(8),
         address: ([127, 0, 0, 1], 7_560).into(),
         accepts_forwarded: false,
+        message_version: 0,
         data_centre: None,
     };
     let name = format!("vm.{HOME}");
@@ -440,6 +442,7 @@
         incarnation: Incarnation(7),
         address: support::peer_address(),
         accepts_forwarded: true,
+        message_version: 0,
         data_centre: Some(south.clone()),
     };
     let name = format!("vm.{ENTRY}");
@@ -567,6 +570,7 @@
         incarnation: Incarnation(7),
         address: support::peer_address(),
         accepts_forwarded: true,
+        message_version: 0,
         data_centre: Some(DataCentreId::from("north")),
     };
     let record = Some(ObjectValue::Fleet(record));
--- a/crates/pool/tests/overload.rs
+++ b/crates/pool/tests/overload.rs
@@ -129,6 +129,7 @@
         max_connections: 24,
         sync_replicas: 0,
         cold_per_s: None,
+        is_adaptive: false,
     };
     rules.groups.insert(GROUP.into(), group);
     let mut harness = PoolHarness::start(&[], rules);
--- a/crates/pool/tests/rates.rs
+++ b/crates/pool/tests/rates.rs
@@ -39,6 +39,7 @@
         incarnation: Incarnation(8),
         address: ([127, 0, 0, 1], 7_560).into(),
         accepts_forwarded: true,
+        message_version: 0,
         data_centre: None,
     };
     harness.change_object(
@@ -285,6 +286,7 @@
         incarnation: Incarnation(7),
         address: ([127, 0, 0, 1], 7_560).into(),
         accepts_forwarded: false,
+        message_version: 0,
         data_centre: None,
     }
 }
--- a/crates/pool/tests/replica_homes.rs
+++ b/crates/pool/tests/replica_homes.rs
@@ -33,6 +33,7 @@
             incarnation: Incarnation(7),
             address: support::peer_address(),
             accepts_forwarded: true,
+            message_version: 0,
             data_centre: Some(DataCentreId::from(data_centre)),
         };
         let record = Some(ObjectValue::Fleet(record));
--- a/crates/pool/tests/roster.rs
+++ b/crates/pool/tests/roster.rs
@@ -134,6 +134,7 @@
         incarnation: Incarnation(7),
         address: ([127, 0, 0, 1], 7_560).into(),
         accepts_forwarded: true,
+        message_version: 0,
         data_centre: None,
     };
     harness.change_object(
@@ -155,6 +156,7 @@
             incarnation: Incarnation(7),
             address: ([127, 0, 0, 1], 7_560).into(),
             accepts_forwarded,
+            message_version: 0,
             data_centre: Some("north".into()),
         };
         let record = Some(ObjectValue::Fleet(record));
--- a/crates/pool/tests/sender_restarts.rs
+++ b/crates/pool/tests/sender_restarts.rs
@@ -40,6 +40,7 @@
             incarnation: RESTARTED,
             address: peer_address(),
             accepts_forwarded: true,
+            message_version: 0,
             data_centre: None,
         };
         let record = Some(ObjectValue::Fleet(record));
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -133,6 +133,7 @@
         max_connections: 21,
         sync_replicas: 0,
         cold_per_s: None,
+        is_adaptive: false,
     }
 }
 
@@ -240,6 +241,7 @@
                 incarnation: if is_own { own } else { INCARNATION },
                 address: peer_address(),
                 accepts_forwarded: true,
+                message_version: 0,
                 data_centre: None,
             };
             (format!("vm.{name}"), ObjectValue::Fleet(record))
