Report the usage of each workspace once for each window

The users' platform asks for the statements that members began for each workspace, window by window, from one VM at a time. Each VM counts what it sends, hands totals on to the holder, and the holder fixes a window by a conditional write to its record before it reports it, so that a repeat by any holder is the same report. Active only where the settings name the duty.

--- a/crates/node/src/codecs.rs
+++ b/crates/node/src/codecs.rs
@@ -15,6 +15,8 @@
 use lycheedoor_pool::ObjectCall;
 use lycheedoor_pool::PromotionOutcome;
 use lycheedoor_pool::WriteOutcome;
+use lycheedoor_pool::usage_report::FixedWindow;
+use lycheedoor_pool::usage_report::UsageOutcome;
 
 /// A message that cannot be decoded; the connection cannot be used any further.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -127,3 +129,12 @@
     /// Returns the outcome of a promotion from its response.
     fn decode(&self, response: &Response) -> PromotionOutcome;
 }
+
+/// The encoding of reports of usage, over HTTP.
+pub trait UsageCodec {
+    /// Appends a complete HTTP request that reports a window under the fencing token `token`.
+    fn encode(&self, window: &FixedWindow, token: u64, out: &mut Vec<u8>);
+
+    /// Returns the outcome of a report from its response.
+    fn decode(&self, response: &Response) -> UsageOutcome;
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -44,6 +44,7 @@
 use crate::store::StoreProber;
 use crate::store::StoreReader;
 use crate::store::StoreWriter;
+use crate::usage::PendingReport;
 
 /// Added to each timer's delay. The event loop and the pool read different clocks; a timer that
 /// fires slightly early by the pool's clock would be set again repeatedly until its deadline.
@@ -52,6 +53,9 @@
 /// Interval of the upkeep, which bounds the memory of histograms and checks for changed settings.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval at which the pool is told the time of day, which may be set back or forward.
+const WALL_TIME_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A connection with output that has not been flushed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DirtySocket {
@@ -71,6 +75,7 @@
     log: LogBuffer,
     pub(crate) load: Load,
     next_upkeep_at: MonoTime,
+    next_wall_time_at: MonoTime,
     pub(crate) settings: Box<dyn SettingsSource>,
     pub(crate) settings_modified_at: Option<SystemTime>,
     pub(crate) last_socket_number: u64,
@@ -80,6 +85,7 @@
     pub(crate) prober: StoreProber,
     pub(crate) writer: StoreWriter,
     pub(crate) promotions: BTreeMap<u64, PendingPromotion>,
+    pub(crate) usage_reports: BTreeMap<u64, PendingReport>,
     pub(crate) outgoing_peers: BTreeMap<VmId, OutgoingPeer>,
     pub(crate) incoming_peers: BTreeMap<u64, IncomingPeer>,
     pub(crate) pending_response: Option<PendingResponse>,
@@ -107,6 +113,7 @@
             log: setup.log,
             load: Load::default(),
             next_upkeep_at: MonoTime::ZERO,
+            next_wall_time_at: MonoTime::ZERO,
             settings_modified_at: setup.settings.modified_at(),
             settings: setup.settings,
             last_socket_number: 0,
@@ -116,6 +123,7 @@
             prober: StoreProber::default(),
             writer: StoreWriter::default(),
             promotions: BTreeMap::new(),
+            usage_reports: BTreeMap::new(),
             outgoing_peers: BTreeMap::new(),
             incoming_peers: BTreeMap::new(),
             pending_response: None,
@@ -127,6 +135,7 @@
             timer: DeadlineTimer::default(),
             iteration_time: None,
         };
+        driver.update_wall_time(cx.now());
         driver.handle_event(cx, PoolEvent::DeadlineReached);
         Some(driver)
     }
@@ -205,6 +214,7 @@
                 member,
                 token,
             } => self.request_promotion(cx, &group, &member, token),
+            PoolAction::ReportUsage { token, window } => self.report_usage(cx, token, &window),
             PoolAction::SendPeer {
                 to,
                 address,
@@ -254,6 +264,7 @@
         let now = self.now(cx.now());
         let lag = now.since(self.pool.next_deadline());
         self.load.record_timer_lag(lag);
+        self.update_wall_time(cx.now());
         self.handle_event(cx, PoolEvent::DeadlineReached);
         self.close_overdue_peers(cx);
         self.write_log();
@@ -283,6 +294,18 @@
         self.handle_event(cx, PoolEvent::StopRequested);
     }
 
+    /// Tells the pool the time of day, which may be set back or forward at any time.
+    fn update_wall_time(&mut self, iteration: Instant) {
+        let now = self.now(iteration);
+        if self.pool.uses_wall_time() && now >= self.next_wall_time_at {
+            self.next_wall_time_at = now + WALL_TIME_INTERVAL;
+            // Not the time of the iteration, which may have begun some time ago.
+            self.iteration_time = None;
+            let now = self.now(iteration);
+            self.pool.set_wall_time(now, Self::wall_time().0);
+        }
+    }
+
     /// Returns the wall clock for the timestamps of messages.
     pub(crate) fn wall_time() -> WallTime {
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The event loop does I/O and executes actions; all decisions are made in `lycheedoor_pool`. The
 //! encodings of callers, members and the platform are supplied through the traits
-//! [`WireProtocol`], [`StoreCodec`] and [`PromotionCodec`].
+//! [`WireProtocol`], [`StoreCodec`], [`PromotionCodec`] and [`UsageCodec`].
 
 mod callers;
 mod codecs;
@@ -16,6 +16,7 @@
 mod reports;
 mod run;
 mod store;
+mod usage;
 
 pub use codecs::CallerCodec;
 pub use codecs::InvalidMessage;
@@ -23,6 +24,7 @@
 pub use codecs::MemberMessage;
 pub use codecs::PromotionCodec;
 pub use codecs::StoreCodec;
+pub use codecs::UsageCodec;
 pub use codecs::WireProtocol;
 pub use reload::ReloadableSettings;
 pub use reload::ReloadedSettings;
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -6,6 +6,7 @@
 use lycheedoor_pool::CallerError;
 use lycheedoor_pool::MemberFault;
 use lycheedoor_pool::Report;
+use lycheedoor_pool::usage_report::UsageNote;
 use lycheedoor_telemetry::FieldValue;
 use lycheedoor_telemetry::emit;
 use lycheedoor_telemetry::emit_limited_by_cause;
@@ -17,6 +18,9 @@
 use lycheedoor_telemetry::metrics::REFUSALS;
 use lycheedoor_telemetry::metrics::STATEMENT_SECONDS;
 use lycheedoor_telemetry::metrics::STATEMENTS;
+use lycheedoor_telemetry::metrics::USAGE_LOST;
+use lycheedoor_telemetry::metrics::USAGE_OLDEST_DUE_SECONDS;
+use lycheedoor_telemetry::metrics::USAGE_WINDOWS;
 use lycheedoor_telemetry::metrics::WAIT_SECONDS;
 use metrics::counter;
 use metrics::gauge;
@@ -28,6 +32,7 @@
 /// Writes a report to the log and updates the metrics.
 pub(crate) fn write_report(report: &Report) {
     match report {
+        Report::Usage(note) => write_usage_note(note),
         Report::ConfigurationApplied { version } => {
             // Versions are far below the largest integer that a floating point gauge holds exactly.
             gauge!(CONFIG_VERSION.name).set(*version as f64);
@@ -183,6 +188,37 @@
     }
 }
 
+fn write_usage_note(note: &UsageNote) {
+    match note {
+        UsageNote::Claimed { token } => emit(&events::USAGE_CLAIMED, &[(*token).into()]),
+        UsageNote::Ended { token, cause } => {
+            gauge!(USAGE_OLDEST_DUE_SECONDS.name).set(0.0);
+            emit(&events::USAGE_ENDED, &[(*token).into(), (*cause).into()]);
+        }
+        UsageNote::Reported {
+            window,
+            statements,
+            age,
+        } => {
+            counter!(USAGE_WINDOWS.name, "result" => "reported").increment(1);
+            let values = [(*window).into(), (*statements).into(), millis(*age)];
+            emit(&events::USAGE_REPORTED, &values);
+        }
+        UsageNote::Missed { window, windows } => {
+            counter!(USAGE_WINDOWS.name, "result" => "missed").increment(*windows);
+            let values = [(*window).into(), (*windows).into()];
+            emit(&events::USAGE_MISSED, &values);
+        }
+        UsageNote::Lost { statements } => {
+            counter!(USAGE_LOST.name).increment(*statements);
+            emit_limited_by_kind(&events::USAGE_LOST, &[(*statements).into()]);
+        }
+        UsageNote::OldestDue { age } => {
+            gauge!(USAGE_OLDEST_DUE_SECONDS.name).set(age.as_secs_f64());
+        }
+    }
+}
+
 fn count_statement(report: &Report) {
     let Report::StatementDone {
         workspace,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -33,6 +33,7 @@
 
 use crate::codecs::PromotionCodec;
 use crate::codecs::StoreCodec;
+use crate::codecs::UsageCodec;
 use crate::codecs::WireProtocol;
 use crate::driver::Driver;
 use crate::reload::SettingsSource;
@@ -53,6 +54,8 @@
     pub store: Box<dyn StoreCodec>,
     /// The requests to promote a member.
     pub promotion: Box<dyn PromotionCodec>,
+    /// The reports of usage.
+    pub usage: Box<dyn UsageCodec>,
 }
 
 /// The addresses that a VM listens on or connects to.
@@ -68,7 +71,7 @@
     pub metrics: SocketAddr,
     /// The address of the platform's store.
     pub store: SocketAddr,
-    /// The address of the platform's interface that promotes members.
+    /// The address of the platform's interface that promotes members and takes reports of usage.
     pub promotion: SocketAddr,
 }
 
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -25,6 +25,8 @@
 use crate::store::ObjectAnswer;
 use crate::store::ObjectCall;
 use crate::store::ObjectKind;
+use crate::usage_report::FixedWindow;
+use crate::usage_report::UsageOutcome;
 
 /// The outcome of a conditional write to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -134,6 +136,15 @@
         /// Whether the platform accepted the request.
         outcome: PromotionOutcome,
     },
+    /// A report of usage to the platform has completed.
+    UsageAnswered {
+        /// The fencing token of the report.
+        token: u64,
+        /// The number of the window.
+        window: u64,
+        /// Whether the platform accepted the report.
+        outcome: UsageOutcome,
+    },
     /// A message of another VM has arrived.
     PeerSent {
         /// The VM that sent the message.
@@ -262,6 +273,13 @@
         /// The fencing token, with which the platform refuses outdated requests.
         token: u64,
     },
+    /// Report the usage of one window to the platform.
+    ReportUsage {
+        /// The fencing token, with which the platform refuses outdated reports.
+        token: u64,
+        /// The window and its counts.
+        window: FixedWindow,
+    },
     /// Send a message to another VM. Delivery is not guaranteed.
     SendPeer {
         /// The VM that gets the message.
--- a/crates/pool/src/failover/claim.rs
+++ b/crates/pool/src/failover/claim.rs
@@ -153,7 +153,7 @@
                     && *replaces == failover.claimed_primary
                     && failover.unanswered_claims.contains(sequence)
             }
-            FleetRecord::Vm { .. } => false,
+            FleetRecord::Vm { .. } | FleetRecord::Usage(_) => false,
         };
         let token = match outcome {
             WriteOutcome::Written(token) => token,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -45,6 +45,8 @@
 mod transactions;
 mod unreachable_primary;
 mod usage;
+mod usage_duty;
+pub mod usage_report;
 
 pub use cold::cold_share;
 pub use config::Consistency;
--- a/crates/pool/src/link.rs
+++ b/crates/pool/src/link.rs
@@ -126,6 +126,13 @@
             .any(|(purpose, _)| *purpose == Purpose::Statement)
     }
 
+    /// Returns when the caller's statement was sent that is unanswered, if there is one.
+    pub(crate) fn statement_sent_at(&self) -> Option<MonoTime> {
+        let mut in_flight = self.in_flight.iter();
+        let statement = in_flight.find(|(purpose, _)| *purpose == Purpose::Statement);
+        statement.map(|(_, sent_at)| *sent_at)
+    }
+
     /// Queues the commands that change the session values to `wanted`.
     pub(crate) fn apply_session_values(&mut self, wanted: &[(String, String)]) {
         if self.values == wanted {
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -184,7 +184,12 @@
             member.links = member.links.saturating_sub(1);
             member.busy = member.busy.saturating_sub(u32::from(is_busy));
         }
-        self.links.remove(&id)
+        let link = self.links.remove(&id)?;
+        if let Some(sent_at) = link.statement_sent_at() {
+            // The answer is lost; the statement has most likely begun.
+            self.count_usage(sent_at, &link.workspace);
+        }
+        Some(link)
     }
 
     /// Releases a connection from its user. Answers that are still outstanding are ignored.
--- a/crates/pool/src/member_answers.rs
+++ b/crates/pool/src/member_answers.rs
@@ -31,6 +31,12 @@
 /// Attempts without a result after which a read that a member failed to run is not retried.
 const MAX_READ_RETRIES: u32 = 3;
 
+/// Returns whether an answer shows that the member began to run the statement.
+fn has_begun(answer: &MemberAnswer) -> bool {
+    let error = answer.result.as_ref().err();
+    error.is_none_or(|error| matches!(error.fault, MemberFault::Failed | MemberFault::TimedOut))
+}
+
 impl Pool {
     pub(crate) fn link_ready(
         &mut self,
@@ -95,6 +101,10 @@
             return self.abort_link(now, id, actions);
         };
         link.in_transaction = answer.state != TransactionState::Idle;
+        if purpose == Purpose::Statement && has_begun(&answer) {
+            let workspace = link.workspace.clone();
+            self.count_usage(sent_at, &workspace);
+        }
         match purpose {
             Purpose::SetUp | Purpose::RollBack if answer.result.is_err() => {
                 // The session state of the connection is not what this VM assumes.
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -14,6 +14,7 @@
 use crate::forward::ForwardedRequest;
 use crate::store::ObjectKind;
 use crate::store::StoreUpdate;
+use crate::usage_report::UsageMessage;
 
 /// A message from the pool of one VM to that of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -97,6 +98,8 @@
     },
     /// The sender does not pass on what it reads from the store.
     StoreNotRead,
+    /// Hands on the counts of statements that are reported to the platform.
+    Usage(Box<UsageMessage>),
 }
 
 impl PoolMessage {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -37,6 +37,8 @@
 use crate::store::ObjectKind;
 use crate::store::StoreWatcher;
 use crate::successor_monitor::SuccessorMonitor;
+use crate::usage_report::UsageReporter;
+use crate::usage_report::UsageRules;
 
 /// Interval between checks of timeouts while callers have statements or transactions in progress,
 /// or the VM is shutting down. A timeout is detected at most this much late.
@@ -74,6 +76,8 @@
     pub key_ttl: Option<Duration>,
     /// How many operations of a workspace beyond its rate and burst are tolerated in a short time.
     pub rate_slack: u32,
+    /// How usage is reported to the platform; `None` where it is not.
+    pub usage: Option<UsageRules>,
 }
 
 /// The pool of one VM: a state machine that turns events into actions.
@@ -116,6 +120,8 @@
     pub(crate) startup_ends_at: Option<MonoTime>,
     pub(crate) successor_monitor: SuccessorMonitor,
     pub(crate) stop: Option<StopProgress>,
+    /// `None` where usage is not reported.
+    pub(crate) usage: Option<UsageReporter>,
     next_tick: MonoTime,
     pub(crate) last_event_at: MonoTime,
 }
@@ -131,6 +137,10 @@
         let mut rates = Rates::default();
         rates.set_shortens_waits(true);
         rates.set_start_tokens(settings.rate_slack / STARTS_WITHIN_RATE_SLACK);
+        let usage = settings.usage.map(|rules| {
+            let (vm, incarnation) = (settings.vm.clone(), settings.incarnation);
+            UsageReporter::new(vm, incarnation, rules, MonoTime::ZERO)
+        });
         Self {
             settings,
             config: Rc::default(),
@@ -161,6 +171,7 @@
             startup_ends_at: None,
             successor_monitor: SuccessorMonitor::default(),
             stop: None,
+            usage,
             next_tick: MonoTime::ZERO,
             last_event_at: MonoTime::ZERO,
         }
@@ -207,6 +218,11 @@
                 token,
                 outcome,
             } => self.promotion_answered(now, &group, token, outcome, actions),
+            PoolEvent::UsageAnswered {
+                token,
+                window,
+                outcome,
+            } => self.usage_answered(now, token, window, outcome, actions),
             PoolEvent::PeerSent {
                 from,
                 incarnation,
@@ -301,6 +317,7 @@
             self.run_failover(now, group, actions);
             self.dispatch_group(now, group, actions);
         }
+        self.run_usage(now, actions);
         self.run_stop(now, actions);
     }
 
@@ -432,6 +449,9 @@
                 answered_ms,
             } => self.relayed_read_received(now, from, updates, answered_ms, actions),
             PoolMessage::StoreNotRead => self.relay_refused(now, from, actions),
+            PoolMessage::Usage(message) => {
+                self.usage_message_received(now, from, incarnation, *message, actions);
+            }
         }
     }
 
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -15,6 +15,7 @@
 use crate::store::ObjectKind;
 use crate::store::ObjectValue;
 use crate::store::StoreWatcher;
+use crate::usage_duty::USAGE_RECORD;
 
 pub(crate) const VM_RECORD_PREFIX: &str = "vm.";
 
@@ -97,6 +98,9 @@
         outcome: WriteOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
+        if name == USAGE_RECORD {
+            return self.usage_record_written(now, outcome, actions);
+        }
         if let WriteOutcome::Conflict { revision, record } = &outcome {
             match record {
                 Some(_) => self.record_revisions.insert(name.to_owned(), *revision),
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -14,10 +14,13 @@
 use crate::statement::CallerError;
 use crate::statement::MemberFault;
 use crate::store::ObjectKind;
+use crate::usage_report::UsageNote;
 
 /// An occurrence that is written to the log, counted in the metrics, or both.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Report {
+    /// An occurrence of usage reporting.
+    Usage(UsageNote),
     /// A new version of the configuration is in force.
     ConfigurationApplied {
         /// The version of the configuration.
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -17,6 +17,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::usage_report::UsageRecord;
+
 /// Time for the other VMs to learn of a changed roster before the new shares are used. A watch
 /// reports the change within milliseconds; the rest allows for a slow store.
 const ROSTER_PROPAGATION_DELAY: Duration = Duration::from_millis(300);
@@ -66,6 +68,9 @@
         /// The primary that is to be replaced; `None` when none was known.
         replaces: Option<MemberId>,
     },
+    /// Which VM reports usage, and what it reports. This record has a kind of its own, which the
+    /// VMs do not watch, since it changes with each window.
+    Usage(Box<UsageRecord>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/pool/src/stop.rs
+++ b/crates/pool/src/stop.rs
@@ -154,6 +154,7 @@
         if !stop.has_returned_tokens {
             self.answer_remaining_statements(now, actions);
             self.run_rates(now, RatesEvent::StopFinished, actions);
+            self.flush_usage(now, actions);
             self.stop = Some(StopProgress {
                 has_returned_tokens: true,
                 ..stop
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -309,6 +309,7 @@
         let view = self.roster.view(&self.settings.vm, now);
         self.rates.set_slot_owners(self.roster.slot_owners());
         self.run_rates(now, RatesEvent::Roster(view), actions);
+        self.update_usage_peers();
         if self.roster.take_placement_change() {
             self.homes_by_group.clear();
         }
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -52,6 +52,7 @@
         stop_grace: Duration::from_secs(6),
         key_ttl: None,
         rate_slack: 0,
+        usage: None,
     }
 }
 
--- a/crates/pool/tests/store_fleet/mod.rs
+++ b/crates/pool/tests/store_fleet/mod.rs
@@ -97,6 +97,7 @@
         stop_grace: Duration::from_secs(6),
         key_ttl: None,
         rate_slack: 0,
+        usage: None,
     }
 }
 
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -206,6 +206,7 @@
             stop_grace: Duration::from_secs(6),
             key_ttl: None,
             rate_slack,
+            usage: None,
         };
         let mut harness = Self {
             pool: Pool::new(settings),
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -81,4 +81,9 @@
     &RELAY_LOST,
     &REPLY_IGNORED,
     &ROUTE_DIFFERS,
+    &USAGE_CLAIMED,
+    &USAGE_ENDED,
+    &USAGE_REPORTED,
+    &USAGE_MISSED,
+    &USAGE_LOST,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -276,3 +276,53 @@
     "the configuration of a statement's home leads to another group; it runs on this VM",
     &["vm", "group", "version"],
 );
+
+/// LD-I-1130: this VM now reports usage to the platform.
+pub const USAGE_CLAIMED: EventKind = event(
+    "LD-I-1130",
+    "usage_claimed",
+    Level::Info,
+    POOL,
+    "this VM now reports usage to the platform",
+    &["token"],
+);
+
+/// LD-I-1131: this VM no longer reports usage.
+pub const USAGE_ENDED: EventKind = event(
+    "LD-I-1131",
+    "usage_ended",
+    Level::Info,
+    POOL,
+    "this VM no longer reports usage",
+    &["token", "cause"],
+);
+
+/// LD-I-1132: the platform has accepted the usage of a window.
+pub const USAGE_REPORTED: EventKind = event(
+    "LD-I-1132",
+    "usage_reported",
+    Level::Info,
+    POOL,
+    "the platform has accepted the usage of a window",
+    &["window", "statements", "age_ms"],
+);
+
+/// LD-W-1133: usage of windows was not reported in time.
+pub const USAGE_MISSED: EventKind = event(
+    "LD-W-1133",
+    "usage_missed",
+    Level::Warn,
+    POOL,
+    "usage of windows was not reported in time",
+    &["window", "windows"],
+);
+
+/// LD-W-1134: statements that this VM counted are not in any report.
+pub const USAGE_LOST: EventKind = event(
+    "LD-W-1134",
+    "usage_lost",
+    Level::Warn,
+    POOL,
+    "statements that this VM counted are not in any report",
+    &["statements"],
+);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -247,6 +247,33 @@
     description: "time line events that later ones have overwritten",
 };
 
+/// The number of windows whose usage was due while this VM reported it, by result: reported or missed.
+pub const USAGE_WINDOWS: MetricKind = MetricKind {
+    name: "lycheedoor_usage_windows_total",
+    metric_type: MetricType::Counter,
+    unit: metrics::Unit::Count,
+    labels: &["result"],
+    description: "windows whose usage was due while this VM reported it, by result: reported or missed",
+};
+
+/// The time since the end of the oldest window that is due and not reported; 0 if none is.
+pub const USAGE_OLDEST_DUE_SECONDS: MetricKind = MetricKind {
+    name: "lycheedoor_usage_oldest_due_seconds",
+    metric_type: MetricType::Gauge,
+    unit: metrics::Unit::Seconds,
+    labels: &[],
+    description: "time since the end of the oldest window that is due and not reported; 0 if none is",
+};
+
+/// The number of statements that this VM counted and that are in no report.
+pub const USAGE_LOST: MetricKind = MetricKind {
+    name: "lycheedoor_usage_lost_total",
+    metric_type: MetricType::Counter,
+    unit: metrics::Unit::Count,
+    labels: &[],
+    description: "statements that this VM counted and that are in no report",
+};
+
 /// All metrics, in the order of docs/metrics.md.
 pub const ALL: &[&MetricKind] = &[
     &STATEMENTS,
@@ -272,4 +299,7 @@
     &PEER_MESSAGES,
     &PEER_BYTES,
     &TIMELINE_LOST,
+    &USAGE_WINDOWS,
+    &USAGE_OLDEST_DUE_SECONDS,
+    &USAGE_LOST,
 ];
