--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -197,11 +197,11 @@
         }
         UsageNote::Reported {
             window,
-            statements,
+            operations,
             age,
         } => {
             counter!(USAGE_WINDOWS.name, "result" => "reported").increment(1);
-            let values = [(*window).into(), (*statements).into(), millis(*age)];
+            let values = [(*window).into(), (*operations).into(), millis(*age)];
             emit(&events::USAGE_REPORTED, &values);
         }
         UsageNote::Missed { window, windows } => {
@@ -209,9 +209,9 @@
             let values = [(*window).into(), (*windows).into()];
             emit(&events::USAGE_MISSED, &values);
         }
-        UsageNote::Lost { statements } => {
-            counter!(USAGE_LOST.name).increment(*statements);
-            emit_limited_by_kind(&events::USAGE_LOST, &[(*statements).into()]);
+        UsageNote::Lost { operations } => {
+            counter!(USAGE_LOST.name).increment(*operations);
+            emit_limited_by_kind(&events::USAGE_LOST, &[(*operations).into()]);
         }
         UsageNote::OldestDue { age } => {
             gauge!(USAGE_OLDEST_DUE_SECONDS.name).set(age.as_secs_f64());
--- a/crates/pool/src/link.rs
+++ b/crates/pool/src/link.rs
@@ -64,6 +64,9 @@
     /// the command before it was answered.
     pub(crate) waiting_since: MonoTime,
     pub(crate) in_transaction: bool,
+    /// Whether a statement of the open transaction has begun, so that later ones belong to an
+    /// operation that has been counted.
+    has_begun_operation: bool,
     values: Vec<(String, String)>,
     prepared: BTreeMap<(Access, String), String>,
     prepared_count: u64,
@@ -90,6 +93,7 @@
             opened_at: now,
             waiting_since: now,
             in_transaction: false,
+            has_begun_operation: false,
             values: Vec::new(),
             prepared: BTreeMap::new(),
             prepared_count: 0,
@@ -126,8 +130,19 @@
             .any(|(purpose, _)| *purpose == Purpose::Statement)
     }
 
-    /// Returns when the caller's statement was sent that is unanswered, if there is one.
-    pub(crate) fn statement_sent_at(&self) -> Option<MonoTime> {
+    /// Records an answer, after `in_transaction` was updated; returns whether an operation has begun
+    /// with it, which is a single statement or the first one of a transaction.
+    pub(crate) fn note_statement(&mut self, has_begun: bool) -> bool {
+        let is_first = has_begun && !self.has_begun_operation;
+        self.has_begun_operation = self.in_transaction && (self.has_begun_operation || has_begun);
+        is_first
+    }
+
+    /// Returns when the unanswered statement was sent with which an operation began, if there is one.
+    pub(crate) fn operation_sent_at(&self) -> Option<MonoTime> {
+        if self.has_begun_operation {
+            return None;
+        }
         let mut in_flight = self.in_flight.iter();
         let statement = in_flight.find(|(purpose, _)| *purpose == Purpose::Statement);
         statement.map(|(_, sent_at)| *sent_at)
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -185,7 +185,7 @@
             member.busy = member.busy.saturating_sub(u32::from(is_busy));
         }
         let link = self.links.remove(&id)?;
-        if let Some(sent_at) = link.statement_sent_at() {
+        if let Some(sent_at) = link.operation_sent_at() {
             // The answer is lost; the statement has most likely begun.
             self.count_usage(sent_at, &link.workspace);
         }
--- a/crates/pool/src/member_answers.rs
+++ b/crates/pool/src/member_answers.rs
@@ -101,8 +101,9 @@
             return self.abort_link(now, id, actions);
         };
         link.in_transaction = answer.state != TransactionState::Idle;
-        if purpose == Purpose::Statement && has_begun(&answer) {
-            let workspace = link.workspace.clone();
+        let begins = purpose == Purpose::Statement && has_begun(&answer);
+        let first_of = link.note_statement(begins).then(|| link.workspace.clone());
+        if let Some(workspace) = first_of {
             self.count_usage(sent_at, &workspace);
         }
         match purpose {
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -98,7 +98,7 @@
     },
     /// The sender does not pass on what it reads from the store.
     StoreNotRead,
-    /// Hands on the counts of statements that are reported to the platform.
+    /// Hands on the counts of operations that are reported to the platform.
     Usage(Box<UsageMessage>),
 }
 
--- a/crates/pool/src/usage_duty.rs
+++ b/crates/pool/src/usage_duty.rs
@@ -35,7 +35,7 @@
         self.usage.is_some()
     }
 
-    /// Counts a statement that a member began to run.
+    /// Counts an operation that a member began to run.
     pub(crate) fn count_usage(&mut self, began_at: MonoTime, workspace: &WorkspaceId) {
         if let Some(usage) = &mut self.usage {
             usage.record(began_at, workspace);
--- a/crates/pool/src/usage_report/counter.rs
+++ b/crates/pool/src/usage_report/counter.rs
@@ -6,7 +6,7 @@
 
 use crate::usage_report::message::UsageCounts;
 
-/// How many statements began, and how many of them the holder is known to have been told of.
+/// How many operations began, and how many of them the holder is known to have been told of.
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
     total: u64,
@@ -74,7 +74,7 @@
         }
     }
 
-    /// Drops the windows before `first`, which are fixed, and returns how many statements in them
+    /// Drops the windows before `first`, which are fixed, and returns how many operations in them
     /// the holder is not known to have been told of.
     pub(crate) fn drop_fixed(&mut self, first: u64) -> u64 {
         let kept = self.windows.split_off(&first);
@@ -83,7 +83,7 @@
         counts.map(|count| count.total - count.acknowledged).sum()
     }
 
-    /// Drops the windows before `first`, which nobody will report, and returns how many statements
+    /// Drops the windows before `first`, which nobody will report, and returns how many operations
     /// began in them.
     pub(crate) fn drop_overdue(&mut self, first: u64) -> u64 {
         let kept = self.windows.split_off(&first);
--- a/crates/pool/src/usage_report/holder.rs
+++ b/crates/pool/src/usage_report/holder.rs
@@ -30,7 +30,7 @@
 /// the former holder knew.
 const COLLECT_DELAY: Duration = Duration::from_secs(1);
 
-/// Added to the time in which all VMs hand on their counts, for statements that take long.
+/// Added to the time in which all VMs hand on their counts, for operations that take long.
 const SETTLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time before the deadline at which a report is not begun any more.
@@ -516,12 +516,12 @@
             UsageOutcome::Accepted => {
                 let windows = duty.record.unsent.iter();
                 let fixed = windows.filter(|fixed| fixed.number == window);
-                let statements = fixed.flat_map(|fixed| fixed.counts.values()).sum();
+                let operations = fixed.flat_map(|fixed| fixed.counts.values()).sum();
                 duty.settled.insert(window);
                 duty.next_report_at = now;
                 out.push(UsageAction::Note(UsageNote::Reported {
                     window,
-                    statements,
+                    operations,
                     age,
                 }));
                 self.run_duty(now, out);
--- a/crates/pool/src/usage_report/message.rs
+++ b/crates/pool/src/usage_report/message.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The statements that began in one window, by workspace.
+/// The operations that began in one window, by workspace.
 pub type UsageCounts = BTreeMap<WorkspaceId, u64>;
 
 /// The time limits of usage reporting.
@@ -147,7 +147,7 @@
         /// The number of the window.
         window: u64,
         /// The sum of its counts.
-        statements: u64,
+        operations: u64,
         /// Time since the end of the window.
         age: Duration,
     },
@@ -158,10 +158,10 @@
         /// How many they are.
         windows: u64,
     },
-    /// Statements that this VM counted are not in any report.
+    /// Operations that this VM counted are not in any report.
     Lost {
         /// How many they are.
-        statements: u64,
+        operations: u64,
     },
     /// How long ago the oldest window ended that is due and not reported.
     OldestDue {
--- a/crates/pool/src/usage_report/mod.rs
+++ b/crates/pool/src/usage_report/mod.rs
@@ -1,4 +1,4 @@
-//! Counts the statements that members began for each workspace, and reports the counts of each
+//! Counts the operations that members began for each workspace, and reports the counts of each
 //! window of true time to the platform.
 //!
 //! Each VM counts what it sends to members and hands the counts on to one VM, the holder. The holder
@@ -72,8 +72,8 @@
     peers: Vec<(VmId, Incarnation)>,
     started_at: MonoTime,
     counter: Counter,
-    /// Statements that were counted too late and are not reported as lost yet.
-    lost_statements: u64,
+    /// Operations that were counted too late and are not reported as lost yet.
+    lost_operations: u64,
     /// This VM's time of day minus its steady clock, in microseconds.
     wall_offset_us: Option<i64>,
     /// The time of day by which windows are determined, minus this VM's steady clock.
@@ -113,7 +113,7 @@
             peers: Vec::new(),
             started_at: now,
             counter: Counter::default(),
-            lost_statements: 0,
+            lost_operations: 0,
             wall_offset_us: None,
             fleet_offset_us: None,
             known: None,
@@ -147,11 +147,11 @@
         self.wall_offset_us = Some(signed(time_us) - signed(now.as_micros()));
     }
 
-    /// Counts a statement of a workspace that began at a member at the given time.
+    /// Counts an operation of a workspace that began at a member at the given time.
     pub fn record(&mut self, began_at: MonoTime, workspace: &WorkspaceId) {
         match self.window_at(began_at) {
             Some(window) if window >= self.heard_next_window => self.counter.add(window, workspace),
-            _ => self.lost_statements += 1,
+            _ => self.lost_operations += 1,
         }
     }
 
@@ -474,9 +474,9 @@
         let overdue = self.counter.drop_overdue(self.first_open_window(now));
         // The holder's own counts need no message.
         let late = if is_holder { 0 } else { late };
-        let statements = overdue + late + std::mem::take(&mut self.lost_statements);
-        if statements > 0 {
-            out.push(UsageAction::Note(UsageNote::Lost { statements }));
+        let operations = overdue + late + std::mem::take(&mut self.lost_operations);
+        if operations > 0 {
+            out.push(UsageAction::Note(UsageNote::Lost { operations }));
         }
     }
 }
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -304,7 +304,7 @@
     Level::Info,
     POOL,
     "the platform has accepted the usage of a window",
-    &["window", "statements", "age_ms"],
+    &["window", "operations", "age_ms"],
 );
 
 /// LD-W-1133: usage of windows was not reported in time.
@@ -317,12 +317,12 @@
     &["window", "windows"],
 );
 
-/// LD-W-1134: statements that this VM counted are not in any report.
+/// LD-W-1134: operations that this VM counted are not in any report.
 pub const USAGE_LOST: EventKind = event(
     "LD-W-1134",
     "usage_lost",
     Level::Warn,
     POOL,
-    "statements that this VM counted are not in any report",
-    &["statements"],
+    "operations that this VM counted are not in any report",
+    &["operations"],
 );
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -265,13 +265,13 @@
     description: "time since the end of the oldest window that is due and not reported; 0 if none is",
 };
 
-/// The number of statements that this VM counted and that are in no report.
+/// The number of operations that this VM counted and that are in no report.
 pub const USAGE_LOST: MetricKind = MetricKind {
     name: "lycheedoor_usage_lost_total",
     metric_type: MetricType::Counter,
     unit: metrics::Unit::Count,
     labels: &[],
-    description: "statements that this VM counted and that are in no report",
+    description: "operations that this VM counted and that are in no report",
 };
 
 /// All metrics, in the order of docs/metrics.md.
