Keep the holder's own counts at a deputy, and resign without the store

A killed holder lost all that it had counted since the last fixed window; its totals now also go to the VM that takes over next. A holder whose writes get no answer resigns, so that a VM that reaches the store claims; a VM without the store's answers claims nothing.

--- a/crates/pool/src/usage_duty.rs
+++ b/crates/pool/src/usage_duty.rs
@@ -59,7 +59,9 @@
             return;
         }
         let mut out = Vec::new();
+        let is_store_reachable = !self.is_store_lost();
         if let Some(usage) = &mut self.usage {
+            usage.set_store_reachable(is_store_reachable);
             if self.stop.is_some() {
                 usage.stop(now, &mut out);
             }
@@ -111,7 +113,7 @@
                 };
                 usage.record_differs(now, revision, record, &mut out);
             }
-            WriteOutcome::Unknown => usage.write_unanswered(now),
+            WriteOutcome::Unknown => usage.write_unanswered(now, &mut out),
         }
         self.execute_usage(out, actions);
     }
--- a/crates/pool/src/usage_report/counter.rs
+++ b/crates/pool/src/usage_report/counter.rs
@@ -54,6 +54,14 @@
         windows.filter(|(_, counts)| !counts.is_empty()).collect()
     }
 
+    /// Returns all totals.
+    pub(crate) fn all(&self) -> Vec<(u64, UsageCounts)> {
+        let windows = self.windows.keys();
+        windows
+            .map(|window| (*window, self.totals(*window)))
+            .collect()
+    }
+
     pub(crate) fn acknowledge(&mut self, windows: &[(u64, UsageCounts)]) {
         for (window, counts) in windows {
             let Some(known) = self.windows.get_mut(window) else {
--- a/crates/pool/src/usage_report/holder.rs
+++ b/crates/pool/src/usage_report/holder.rs
@@ -1,4 +1,4 @@
-//! The holder: how the duty is claimed, and how windows are fixed and reported.
+//! The holder: how windows are fixed and reported.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -9,10 +9,10 @@
 use lycheedoor_core::types::VmId;
 
 use crate::usage_report::Collected;
-use crate::usage_report::DELAY_PER_RANK;
 use crate::usage_report::IDLE_INTERVAL;
 use crate::usage_report::KnownHolder;
 use crate::usage_report::UsageReporter;
+use crate::usage_report::claim::Purpose;
 use crate::usage_report::median;
 use crate::usage_report::message::FixedWindow;
 use crate::usage_report::message::UsageAction;
@@ -21,10 +21,9 @@
 use crate::usage_report::message::UsageOutcome;
 use crate::usage_report::message::UsageRecord;
 use crate::usage_report::micros;
-use crate::usage_report::signed;
 
 /// Delay before a call is repeated that got no usable answer.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Time between a claim and the first window that is fixed, in which the other VMs hand on again what
 /// the former holder knew.
@@ -39,25 +38,6 @@
 /// Time between two estimates of the time of day.
 const CLOCK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a write to the record is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Purpose {
-    /// Creates the record, or finds out who the holder is.
-    Create,
-    Claim,
-    Fix,
-}
-
-/// A write to the record whose outcome is not known.
-#[derive(Clone, Debug)]
-pub(crate) struct PendingWrite {
-    purpose: Purpose,
-    record: UsageRecord,
-    expected: Option<u64>,
-    /// When it is repeated; `None` while a call is in progress.
-    retry_at: Option<MonoTime>,
-}
-
 /// What the holder knows and does.
 #[derive(Debug)]
 pub(crate) struct Duty {
@@ -67,6 +47,8 @@
     /// When the record was last known to name this VM; `None` if that is in doubt.
     confirmed_at: Option<MonoTime>,
     claimed_in_window: u64,
+    /// The first window that no former holder has fixed.
+    first_own_window: u64,
     /// The first window that may be fixed.
     first_window: u64,
     collects_until: MonoTime,
@@ -87,6 +69,17 @@
         self.record.token
     }
 
+    /// Takes over the record that this VM has written.
+    pub(crate) fn confirm(&mut self, now: MonoTime, record: UsageRecord, revision: u64) {
+        self.collected = self.collected.split_off(&record.next_window);
+        // The settled windows that the record no longer names need not be remembered.
+        let is_named = |number: &u64| record.unsent.iter().any(|window| window.number == *number);
+        self.settled.retain(is_named);
+        self.record = record;
+        self.revision = revision;
+        self.confirmed_at = Some(now);
+    }
+
     /// Takes over the counts of another VM. They are totals, so that a repeat changes nothing.
     pub(crate) fn counts_received(
         &mut self,
@@ -97,6 +90,15 @@
         windows: Vec<(u64, UsageCounts)>,
     ) {
         self.clocks.insert(from.clone(), (clock_offset_us, now));
+        self.take_counts(from, incarnation, windows);
+    }
+
+    fn take_counts(
+        &mut self,
+        from: &VmId,
+        incarnation: Incarnation,
+        windows: Vec<(u64, UsageCounts)>,
+    ) {
         let process = (from.clone(), incarnation);
         for (window, counts) in windows {
             if window < self.record.next_window {
@@ -125,175 +127,7 @@
 }
 
 impl UsageReporter {
-    /// Claims the duty once nobody has heard from its holder for long enough.
-    pub(crate) fn claim_if_due(&mut self, now: MonoTime, out: &mut Vec<UsageAction>) {
-        let Some(since) = self.unanswered_since else {
-            return;
-        };
-        let rank = u32::try_from(self.own_rank()).unwrap_or(u32::MAX);
-        let due = since + self.takeover_timeout() + DELAY_PER_RANK.saturating_mul(rank);
-        // The duty must not return to this VM soon after another one has had it for a moment.
-        let due = due.max(self.reported_at + self.takeover_timeout());
-        // A VM that no other VM answers is likely to be cut off itself.
-        let recent = self.hand_on_interval() * 2;
-        let is_connected = self.peers.is_empty()
-            || self
-                .answered_at
-                .is_some_and(|answered_at| now.since(answered_at) <= recent);
-        if self.write.is_some() || now < due || !is_connected || self.window_at(now).is_none() {
-            return;
-        }
-        let record = UsageRecord {
-            unsent: Vec::new(),
-            next_window: 0,
-            ..self.claim_record(now, 0)
-        };
-        self.begin_write(Purpose::Create, record, None, out);
-    }
-
-    fn own_rank(&self) -> usize {
-        let holder = self.known.as_ref().map(|known| &known.vm);
-        let is_before = |vm: &VmId, incarnation: Incarnation| {
-            Some(vm) != holder
-                && (incarnation > self.incarnation
-                    || incarnation == self.incarnation && *vm < self.vm)
-        };
-        let peers = self.peers.iter();
-        peers
-            .filter(|(vm, incarnation)| is_before(vm, *incarnation))
-            .count()
-    }
-
-    /// Returns a record that names this VM, without windows. The token is the time in milliseconds
-    /// unless a higher one is known: tokens then differ also if the store has lost a claim.
-    fn claim_record(&mut self, now: MonoTime, known_token: u64) -> UsageRecord {
-        self.last_sequence += 1;
-        let offset = self.fleet_offset_us.or(self.wall_offset_us).unwrap_or(0);
-        let time_ms = (signed(now.as_micros()) + offset) / 1_000;
-        let known = known_token.max(self.heard_token);
-        UsageRecord {
-            holder: self.vm.clone(),
-            incarnation: self.incarnation,
-            token: (known + 1).max(u64::try_from(time_ms).unwrap_or(0)),
-            sequence: self.last_sequence,
-            next_window: 0,
-            unsent: Vec::new(),
-        }
-    }
-
-    fn begin_write(
-        &mut self,
-        purpose: Purpose,
-        record: UsageRecord,
-        expected: Option<u64>,
-        out: &mut Vec<UsageAction>,
-    ) {
-        out.push(UsageAction::Write {
-            record: record.clone(),
-            expected,
-        });
-        self.write = Some(PendingWrite {
-            purpose,
-            record,
-            expected,
-            retry_at: None,
-        });
-    }
-
-    /// Repeats a write unchanged. An earlier attempt may still take effect, and the condition lets
-    /// only one of them do so.
-    pub(crate) fn retry_write(&mut self, now: MonoTime, out: &mut Vec<UsageAction>) {
-        let Some(write) = &mut self.write else {
-            return;
-        };
-        if write.retry_at.take_if(|at| *at <= now).is_some() {
-            out.push(UsageAction::Write {
-                record: write.record.clone(),
-                expected: write.expected,
-            });
-        }
-    }
-
-    /// Handles the outcome of a write that took effect, with the revision of the record.
-    pub fn record_written(&mut self, now: MonoTime, revision: u64, out: &mut Vec<UsageAction>) {
-        let Some(write) = self.write.take() else {
-            return;
-        };
-        match (write.purpose, &mut self.duty) {
-            (Purpose::Fix, Some(duty)) => {
-                duty.record = write.record;
-                duty.revision = revision;
-                duty.confirmed_at = Some(now);
-                let next_window = duty.record.next_window;
-                duty.collected = duty.collected.split_off(&next_window);
-                duty.settled = duty.settled.split_off(&next_window.saturating_sub(64));
-                self.heard_next_window = self.heard_next_window.max(next_window);
-                self.run_duty(now, out);
-            }
-            (Purpose::Fix, None) => {}
-            (Purpose::Create | Purpose::Claim, _) => {
-                self.begin_duty(now, write.record, revision, out);
-            }
-        }
-    }
-
-    /// Handles a write that had no effect because the record has another revision.
-    pub fn record_differs(
-        &mut self,
-        now: MonoTime,
-        revision: u64,
-        record: Option<UsageRecord>,
-        out: &mut Vec<UsageAction>,
-    ) {
-        let Some(write) = self.write.take() else {
-            return;
-        };
-        if record.as_ref() == Some(&write.record) {
-            // An earlier attempt got no answer and took effect.
-            self.write = Some(write);
-            return self.record_written(now, revision, out);
-        }
-        if write.purpose == Purpose::Fix {
-            return self.end_duty("another VM has claimed the duty", out);
-        }
-        let Some(record) = record else {
-            // The record is missing or cannot be read; the next attempt creates it.
-            self.unanswered_since = Some(now);
-            return;
-        };
-        let silent = self.known.as_ref().map_or(0, |known| known.token);
-        if record.token > silent && record.holder != self.vm {
-            // Another VM has become the holder meanwhile, or this VM did not know it.
-            self.heard_token = self.heard_token.max(record.token);
-            self.heard_next_window = self.heard_next_window.max(record.next_window);
-            self.known = Some(KnownHolder {
-                vm: record.holder,
-                token: record.token,
-            });
-            self.counter.reset_acknowledged();
-            self.handed_on = None;
-            self.unanswered_since = None;
-            self.holder_answered_at = None;
-            self.next_hand_on_at = now;
-            return;
-        }
-        let claim = self.claim_record(now, record.token);
-        let claim = UsageRecord {
-            next_window: record.next_window,
-            unsent: record.unsent,
-            ..claim
-        };
-        self.begin_write(Purpose::Claim, claim, Some(revision), out);
-    }
-
-    /// Handles a write without a usable answer, which may still take effect.
-    pub fn write_unanswered(&mut self, now: MonoTime) {
-        if let Some(write) = &mut self.write {
-            write.retry_at = Some(now + RETRY_DELAY);
-        }
-    }
-
-    fn begin_duty(
+    pub(crate) fn begin_duty(
         &mut self,
         now: MonoTime,
         record: UsageRecord,
@@ -306,6 +140,7 @@
         if self.heard_next_window > record.next_window {
             first_window = first_window.max(claimed_in_window);
         }
+        let first_own_window = record.next_window;
         let token = record.token;
         self.heard_token = self.heard_token.max(token);
         self.heard_next_window = self.heard_next_window.max(record.next_window);
@@ -315,11 +150,12 @@
         });
         self.unanswered_since = None;
         self.handed_on = None;
-        self.duty = Some(Duty {
+        let mut duty = Duty {
             record,
             revision,
             confirmed_at: Some(now),
             claimed_in_window,
+            first_own_window,
             first_window,
             collects_until: now + COLLECT_DELAY,
             collected: Collected::new(),
@@ -329,7 +165,12 @@
             reporting: None,
             next_report_at: now,
             ran_at: now,
-        });
+        };
+        if let Some(deposit) = self.deposit.take() {
+            // Totals, like those that the former holder may hand on itself.
+            duty.take_counts(&deposit.vm, deposit.incarnation, deposit.windows);
+        }
+        self.duty = Some(duty);
         out.push(UsageAction::Note(UsageNote::Claimed { token }));
         let message = self.answer(now, 0, false);
         self.announce(&message, out);
@@ -375,7 +216,7 @@
             return;
         }
         if duty.confirmed_at.is_none() {
-            return self.write_record(Vec::new(), next_window, out);
+            return self.write_record(now, Vec::new(), next_window, out);
         }
         let first_open = self.first_open_window(now);
         let Some(duty) = &self.duty else {
@@ -401,7 +242,7 @@
                     windows: first - next_window,
                 }));
             }
-            return self.write_record(fixed, last, out);
+            return self.write_record(now, fixed, last, out);
         }
         self.report_next(now, oldest_due, out);
     }
@@ -421,6 +262,7 @@
     /// Writes the record with newly fixed windows, which also shows that this VM is still the holder.
     fn write_record(
         &mut self,
+        now: MonoTime,
         fixed: Vec<FixedWindow>,
         next_window: u64,
         out: &mut Vec<UsageAction>,
@@ -438,7 +280,7 @@
             ..duty.record.clone()
         };
         let expected = Some(duty.revision);
-        self.begin_write(Purpose::Fix, record, expected, out);
+        self.begin_write(now, Purpose::Fix, record, expected, out);
     }
 
     /// Gives up the fixed windows that cannot be reported in time any more.
@@ -459,7 +301,10 @@
         };
         for window in overdue {
             duty.settled.insert(window);
-            out.push(UsageAction::Note(UsageNote::Missed { window, windows: 1 }));
+            // A former holder may have reported those that it fixed.
+            if window >= duty.first_own_window {
+                out.push(UsageAction::Note(UsageNote::Missed { window, windows: 1 }));
+            }
         }
     }
 
@@ -490,7 +335,7 @@
             return;
         };
         if !is_confirmed {
-            return self.write_record(Vec::new(), next_window, out);
+            return self.write_record(now, Vec::new(), next_window, out);
         }
         duty.reporting = Some(window.number);
         self.reported_at = now;
--- a/crates/pool/src/usage_report/mod.rs
+++ b/crates/pool/src/usage_report/mod.rs
@@ -6,9 +6,12 @@
 //! them, so that a repeat, also by the next holder, is the same report. See
 //! `docs/design/usage-accounting.md`.
 
+mod claim;
 mod counter;
+mod hand_on;
 mod holder;
 mod message;
+mod windows;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -28,9 +31,9 @@
 pub use message::UsageRecord;
 pub use message::UsageRules;
 
+use claim::PendingWrite;
 use counter::Counter;
 use holder::Duty;
-use holder::PendingWrite;
 
 /// Shortest time between two messages of a VM to the holder.
 const MIN_HAND_ON_INTERVAL: Duration = Duration::from_secs(1);
@@ -53,6 +56,14 @@
     token: u64,
 }
 
+/// The counts of a holder at its deputy.
+#[derive(Clone, Debug)]
+struct Deposit {
+    vm: VmId,
+    incarnation: Incarnation,
+    windows: Vec<(u64, UsageCounts)>,
+}
+
 /// A message whose answer is outstanding.
 #[derive(Clone, Debug)]
 struct HandedOn {
@@ -95,12 +106,15 @@
     next_hand_on_at: MonoTime,
     /// How many other VMs were asked for the holder since it was last known to be up.
     asked: usize,
+    /// What the holder itself has counted, kept in case that this VM follows it.
+    deposit: Option<Deposit>,
     duty: Option<Duty>,
     /// When this VM last sent a report, or may have done so in an earlier process.
     reported_at: MonoTime,
     write: Option<PendingWrite>,
     last_sequence: u64,
     has_stopped: bool,
+    is_store_reachable: bool,
 }
 
 impl UsageReporter {
@@ -127,11 +141,13 @@
             last_number: 0,
             next_hand_on_at: now,
             asked: 0,
+            deposit: None,
             duty: None,
             reported_at: now,
             write: None,
             last_sequence: 0,
             has_stopped: false,
+            is_store_reachable: true,
         }
     }
 
@@ -147,6 +163,11 @@
         self.wall_offset_us = Some(signed(time_us) - signed(now.as_micros()));
     }
 
+    /// Sets whether this VM has had answers from the store lately. Without them it claims nothing.
+    pub fn set_store_reachable(&mut self, is_reachable: bool) {
+        self.is_store_reachable = is_reachable;
+    }
+
     /// Counts an operation of a workspace that began at a member at the given time.
     pub fn record(&mut self, began_at: MonoTime, workspace: &WorkspaceId) {
         match self.window_at(began_at) {
@@ -177,6 +198,12 @@
                     let offset_us = signed(time_us) - signed(now.as_micros());
                     duty.counts_received(now, from, incarnation, offset_us, windows);
                     duty.check_peer(token, next_window);
+                } else if self.known.as_ref().is_some_and(|known| known.vm == *from) {
+                    self.deposit = Some(Deposit {
+                        vm: from.clone(),
+                        incarnation,
+                        windows,
+                    });
                 }
                 let message = self.answer(now, number, false);
                 out.push(UsageAction::Send {
@@ -217,6 +244,7 @@
         self.drop_settled_windows(now, out);
         if self.duty.is_some() {
             self.run_duty(now, out);
+            self.hand_on_to_deputy(now, out);
         } else if !self.has_stopped {
             self.claim_if_due(now, out);
         }
@@ -229,12 +257,22 @@
     /// Ends the duty, since this VM stops. It goes on to hand on what it counts.
     pub fn stop(&mut self, now: MonoTime, out: &mut Vec<UsageAction>) {
         self.has_stopped = true;
+        self.resign(now, "VM stops", out);
+    }
+
+    /// Ends the duty and lets another VM claim it at once.
+    pub(crate) fn resign(
+        &mut self,
+        now: MonoTime,
+        cause: &'static str,
+        out: &mut Vec<UsageAction>,
+    ) {
         self.write = None;
         if self.duty.is_none() {
             return;
         }
         let message = self.answer(now, 0, true);
-        self.end_duty("VM stops", out);
+        self.end_duty(cause, out);
         self.announce(&message, out);
     }
 
@@ -243,48 +281,6 @@
         self.hand_on(now, out);
     }
 
-    /// Returns the window that contains a time, or `None` while the time of day is not known.
-    fn window_at(&self, time: MonoTime) -> Option<u64> {
-        let offset = self.fleet_offset_us.or(self.wall_offset_us)?;
-        let time_us = signed(time.as_micros()) + offset;
-        u64::try_from(time_us)
-            .ok()
-            .map(|time_us| time_us / self.window_us())
-    }
-
-    fn window_us(&self) -> u64 {
-        micros(self.rules.window).max(1)
-    }
-
-    /// Returns the time since the end of a window; zero if it has not ended.
-    fn age_of(&self, now: MonoTime, window: u64) -> Duration {
-        let Some(offset) = self.fleet_offset_us.or(self.wall_offset_us) else {
-            return Duration::ZERO;
-        };
-        let end = signed(window.saturating_add(1).saturating_mul(self.window_us()));
-        let age = signed(now.as_micros()) + offset - end;
-        Duration::from_micros(u64::try_from(age).unwrap_or(0))
-    }
-
-    fn has_ended(&self, now: MonoTime, window: u64) -> bool {
-        self.window_at(now).is_some_and(|current| current > window)
-    }
-
-    /// Returns the first window that is not overdue.
-    fn first_open_window(&self, now: MonoTime) -> u64 {
-        let current = self.window_at(now).unwrap_or(0);
-        let mut first = current.saturating_sub(self.due_windows());
-        while first < current && self.age_of(now, first) >= self.rules.deadline {
-            first += 1;
-        }
-        first
-    }
-
-    /// Returns how many windows can have ended and not be overdue, plus one.
-    fn due_windows(&self) -> u64 {
-        micros(self.rules.deadline) / self.window_us() + 2
-    }
-
     fn hand_on_interval(&self) -> Duration {
         let vms = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
         let interval = MIN_HAND_ON_INTERVAL.max(HAND_ON_INTERVAL_PER_VM.saturating_mul(vms));
@@ -386,87 +382,6 @@
         }
     }
 
-    /// Hands new counts on to the holder, or asks another VM for the holder.
-    fn hand_on(&mut self, now: MonoTime, out: &mut Vec<UsageAction>) {
-        let interval = self.hand_on_interval();
-        let is_known = self.known.as_ref().is_some_and(|known| known.vm != self.vm);
-        let unanswered_since = self.unanswered_since;
-        let is_lost =
-            !is_known || unanswered_since.is_some_and(|since| now.since(since) >= interval);
-        if is_lost {
-            self.ask_for_holder(now, out);
-        }
-        self.next_hand_on_at = now + interval;
-        let Some(holder) = self.known.as_ref().map(|known| known.vm.clone()) else {
-            return;
-        };
-        if holder == self.vm {
-            // An earlier process of this VM, or a claim of this one that it has given up.
-            self.unanswered_since.get_or_insert(now);
-            return;
-        }
-        let windows = self.counter.unacknowledged();
-        let is_idle = windows.is_empty() && self.unanswered_since.is_none();
-        let latest = self.answered_at.filter(|_| self.fleet_offset_us.is_some());
-        let is_idle = is_idle && !std::mem::take(&mut self.checks_holder);
-        if is_idle && latest.is_some_and(|latest| now.since(latest) < IDLE_INTERVAL) {
-            return;
-        }
-        let message = self.counts_message(now, windows, true);
-        self.unanswered_since.get_or_insert(now);
-        out.push(UsageAction::Send {
-            to: holder,
-            message,
-        });
-    }
-
-    /// Asks one other VM, in the order in which they would take over.
-    fn ask_for_holder(&mut self, now: MonoTime, out: &mut Vec<UsageAction>) {
-        self.unanswered_since.get_or_insert(now);
-        let holder = self.known.as_ref().map(|known| &known.vm);
-        let others = self.peers.iter().map(|(vm, _)| vm);
-        let others: Vec<&VmId> = others.filter(|vm| Some(*vm) != holder).collect();
-        let Some(index) = self.asked.checked_rem(others.len()) else {
-            return;
-        };
-        let to = others[index].clone();
-        self.asked += 1;
-        let message = self.counts_message(now, Vec::new(), false);
-        out.push(UsageAction::Send { to, message });
-    }
-
-    fn counts_message(
-        &mut self,
-        now: MonoTime,
-        windows: Vec<(u64, UsageCounts)>,
-        is_handed_on: bool,
-    ) -> UsageMessage {
-        self.last_number += 1;
-        let number = self.last_number;
-        if is_handed_on {
-            self.handed_on = Some(HandedOn {
-                number,
-                sent_at: now,
-                windows: windows.clone(),
-            });
-        }
-        let time_us = signed(now.as_micros()) + self.wall_offset_us.unwrap_or(0);
-        UsageMessage::Counts {
-            number,
-            time_us: u64::try_from(time_us).unwrap_or(0),
-            token: self.heard_token,
-            next_window: self.heard_next_window,
-            windows,
-        }
-    }
-
-    fn announce(&self, message: &UsageMessage, out: &mut Vec<UsageAction>) {
-        out.extend(self.peers.iter().map(|(vm, _)| UsageAction::Send {
-            to: vm.clone(),
-            message: message.clone(),
-        }));
-    }
-
     /// Drops the counts that no report can contain any more.
     fn drop_settled_windows(&mut self, now: MonoTime, out: &mut Vec<UsageAction>) {
         let is_holder = self.duty.is_some();
