--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -53,6 +53,7 @@
 use lycheedoor_pool::RouteRule;
 use lycheedoor_pool::Statement;
 use lycheedoor_pool::TransactionState;
+use lycheedoor_pool::usage_report::UsageRules;
 
 /// With this name `vm-1`, the VM of most tests, is the home of all workspaces in small fleets.
 pub(crate) const GROUP: &str = "ledger-1";
@@ -197,7 +198,23 @@
         Self::create(vm, INCARNATION, 0)
     }
 
+    /// Creates a pool that is alone in the fleet and reports usage.
+    pub(crate) fn start_reporting_usage(rules: UsageRules) -> Self {
+        let mut harness = Self::create_with("vm-1", INCARNATION, 0, Some(rules));
+        harness.load("vm-1", &[], config(1));
+        harness
+    }
+
     fn create(vm: &str, incarnation: Incarnation, rate_slack: u32) -> Self {
+        Self::create_with(vm, incarnation, rate_slack, None)
+    }
+
+    fn create_with(
+        vm: &str,
+        incarnation: Incarnation,
+        rate_slack: u32,
+        usage: Option<UsageRules>,
+    ) -> Self {
         let settings = PoolSettings {
             vm: VmId::from(vm),
             incarnation,
@@ -206,7 +223,7 @@
             stop_grace: Duration::from_secs(6),
             key_ttl: None,
             rate_slack,
-            usage: None,
+            usage,
         };
         let mut harness = Self {
             pool: Pool::new(settings),
