Find the pace of a started or recovered member from how it answers

A member that was back got statements and new connections of all VMs at once: the limit on what is in progress began at 64 for each VM and was halved only by refusals.

For groups whose configuration states no limits for cold members, a member that is new, restarted, back or promoted begins with about one statement for each slot, over all VMs together. The load doubles with each round of good answers and is cut when they are slow or refused. Other groups are unchanged.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -12,6 +12,7 @@
 use lycheedoor_telemetry::emit_limited_by_kind;
 use lycheedoor_telemetry::events;
 use lycheedoor_telemetry::metrics::CONFIG_VERSION;
+use lycheedoor_telemetry::metrics::MEMBER_RAMP_SECONDS;
 use lycheedoor_telemetry::metrics::MEMBER_SECONDS;
 use lycheedoor_telemetry::metrics::READS;
 use lycheedoor_telemetry::metrics::REFUSALS;
@@ -94,6 +95,22 @@
             ];
             emit_limited_by_kind(&events::MEMBER_BACK, &values);
         }
+        Report::MemberAtPace {
+            group,
+            member,
+            taken,
+            cuts,
+        } => {
+            let values = [
+                group.as_str().into(),
+                member.as_str().into(),
+                millis(*taken),
+                (*cuts).into(),
+            ];
+            emit_limited_by_kind(&events::MEMBER_AT_PACE, &values);
+            let histogram = histogram!(MEMBER_RAMP_SECONDS.name, "group" => group.to_string());
+            histogram.record(taken.as_secs_f64());
+        }
         Report::Failover {
             group,
             step,
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -133,6 +133,13 @@
         }
         self.primary = member;
         self.primary_reached_by = None;
+        let primary = self
+            .primary
+            .as_ref()
+            .and_then(|id| self.members.get_mut(id));
+        if let Some(primary) = primary {
+            primary.pace.begin(now);
+        }
         Some(evidence)
     }
 
--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -207,6 +207,17 @@
         self.primary.rank_of(vm)
     }
 
+    /// Returns how many VMs are homes that use a member, and how many of them have a higher rate
+    /// than the given VM.
+    pub(crate) fn count_and_rank(&self, member: &MemberId, vm: &VmId) -> (u32, u32) {
+        let Some(homes) = self.by_member.get(member) else {
+            return (1, 0);
+        };
+        let count = u32::try_from(homes.homes.len()).unwrap_or(u32::MAX);
+        let rank = u32::try_from(homes.rank_of(vm)).unwrap_or(u32::MAX);
+        (count, rank)
+    }
+
     /// Returns whether a VM may keep connections to a member that it does not use.
     pub(crate) fn may_keep_unused(&self, member: &MemberId, vm: &VmId) -> bool {
         let homes = self.by_member.get(member);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,6 +9,7 @@
 //! The crate does no I/O and reads no clock: a driver passes in events with the current time and
 //! carries out the resulting actions.
 
+mod adaptive;
 mod admission;
 mod budget;
 mod cold;
@@ -24,6 +25,7 @@
 mod member;
 mod member_answers;
 mod message;
+mod pace;
 mod placement;
 mod pool;
 mod primary_position;
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -74,7 +74,7 @@
                 if let Some(member) = self.member_of(id) {
                     member.refused_connection(now);
                     if is_overloaded {
-                        member.overloaded(now, budget);
+                        member.pace.overloaded(now, budget);
                     }
                 }
             }
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::cold::ColdBucket;
+use crate::pace::Pace;
 use crate::usage::Usage;
 
 /// How long a member whose entry disappeared is still used if it answers. Entries that expired
@@ -47,18 +48,6 @@
 /// The expected answer time of a member that has not answered yet.
 const INITIAL_ANSWER_TIME: Duration = Duration::from_millis(20);
 
-/// The maximum of the limit on statements and new connections in progress, far more than one VM's
-/// share of the connections.
-const MAX_IN_PROGRESS_LIMIT: f64 = 64.0;
-
-/// How much the limit grows once as many answers have arrived as the limit allows in progress.
-const LIMIT_INCREMENT: f64 = 0.5;
-
-/// Minimum time between two reductions of the limit. It is about as long as the queue of an
-/// overloaded member takes, so that refusals already in progress at one reduction do not cause
-/// another.
-const MIN_LIMIT_CUT_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The expected time to open a connection to a member that has not accepted one yet.
 const INITIAL_OPEN_TIME: Duration = Duration::from_millis(20);
 
@@ -114,8 +103,7 @@
     open_time: Duration,
     /// How many statements and new connections this VM keeps in progress at the member, if that is
     /// fewer than its connections.
-    limit: f64,
-    limit_cut_at: MonoTime,
+    pub(crate) pace: Pace,
     /// Statements of this VM in progress at the member.
     pub(crate) busy: u32,
     /// Connections of this VM that are open or being opened.
@@ -148,8 +136,7 @@
             not_primary_since: None,
             answer_time: INITIAL_ANSWER_TIME,
             open_time: INITIAL_OPEN_TIME,
-            limit: MAX_IN_PROGRESS_LIMIT,
-            limit_cut_at: MonoTime::ZERO,
+            pace: Pace::beginning(now),
             busy: 0,
             links: 0,
             usage: Usage::default(),
@@ -163,6 +150,7 @@
         if entry.started_unix_ms != self.entry.started_unix_ms {
             self.position = None;
             self.retry_at = now;
+            self.pace.begin(now);
         }
         self.claim_revision = match (entry.claims_primary, self.claim_revision) {
             (false, _) => None,
@@ -190,34 +178,23 @@
         if let Some(position) = position {
             self.position = Some(position);
         }
-        self.down_since.take().map(|since| now.since(since))
+        let outage = self.down_since.take().map(|since| now.since(since));
+        if outage.is_some() {
+            self.pace.begin(now);
+        }
+        outage
     }
 
     /// Returns how many statements and new connections of this VM may be in progress at the member,
     /// not counting those on borrowed connections.
     pub(crate) fn limit(&self, budget: u32) -> u32 {
-        let within = |count: &u32| f64::from(*count) <= self.limit;
+        let within = |count: &u32| f64::from(*count) <= self.pace.settled_limit();
         (1..=budget).rev().find(within).unwrap_or(1)
     }
 
-    /// Returns whether one more statement or new connection may be in progress besides `running`.
-    pub(crate) fn has_room(&self, running: usize) -> bool {
-        let running = u32::try_from(running).unwrap_or(u32::MAX);
-        f64::from(running) < self.limit.floor().max(1.0)
-    }
-
-    /// Halves the limit on what this VM keeps in progress at an overloaded member, at most once per
-    /// round of answers.
-    pub(crate) fn overloaded(&mut self, now: MonoTime, budget: u32) {
-        if now.since(self.limit_cut_at) >= MIN_LIMIT_CUT_INTERVAL {
-            self.limit_cut_at = now;
-            self.limit = (self.limit.min(f64::from(budget)) / 2.0).max(1.0);
-        }
-    }
-
     /// Records how long the member took to answer a statement.
     pub(crate) fn answered_in(&mut self, taken: Duration) {
-        self.limit = (self.limit + LIMIT_INCREMENT / self.limit).min(MAX_IN_PROGRESS_LIMIT);
+        self.pace.answered();
         self.answer_time =
             (self.answer_time * (AVERAGE_WEIGHT_DIVISOR - 1) + taken) / AVERAGE_WEIGHT_DIVISOR;
     }
--- a/crates/pool/src/member_answers.rs
+++ b/crates/pool/src/member_answers.rs
@@ -210,7 +210,7 @@
         let (delay, excluded) = match fault {
             MemberFault::Busy => {
                 if let Some(state) = group.members.get_mut(member) {
-                    state.overloaded(now, budget);
+                    state.pace.overloaded(now, budget);
                 }
                 (RETRY_DELAY, None)
             }
@@ -244,6 +244,7 @@
         {
             member.answered_in(now.since(sent_at));
             member.kept_up();
+            self.record_pace(now, id, now.since(sent_at), actions);
         }
         let Some(link) = self.links.get(&id) else {
             return;
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -105,6 +105,8 @@
                 }
             });
         let candidates = candidates.filter(|(_, member)| self.has_cold_capacity(now, member));
+        let is_needed =
+            requirement == Requirement::PrimaryOnly || candidates.clone().nth(1).is_none();
         let mut free: SmallVec<[&Link; 16]> = SmallVec::new();
         let mut own_busy: SmallVec<[&MemberId; 4]> = SmallVec::new();
         let mut running: SmallVec<[&MemberId; 16]> = SmallVec::new();
@@ -128,7 +130,7 @@
             let wait =
                 can_wait.then(|| (member.expected_answer_time() * 2, Placement::WaitForBusy));
             let count = running.iter().filter(|running| **running == id).count();
-            let has_room = member.has_room(count);
+            let has_room = self.has_room(now, id, member, count, is_needed);
             let connection =
                 has_room.then(|| self.find_connection(now, id, member, workspace, &free));
             let connection = connection.flatten();
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -74,6 +74,17 @@
         /// How long the member was considered down.
         outage: Duration,
     },
+    /// A member that had started or recovered now gets this VM's full share of its load.
+    MemberAtPace {
+        /// The group of the member.
+        group: GroupId,
+        /// The member that has reached its pace.
+        member: MemberId,
+        /// Time since it began.
+        taken: Duration,
+        /// How often the load was reduced in between because the member refused or was slow.
+        cuts: u32,
+    },
     /// A step in the replacement of a primary.
     Failover {
         /// The group whose primary is replaced.
--- a/crates/pool/src/timeouts.rs
+++ b/crates/pool/src/timeouts.rs
@@ -164,7 +164,7 @@
             let budget = self.link_budget(&group, &member);
             if let Some(member) = self.member_of(id) {
                 member.refused_connection(now);
-                member.overloaded(now, budget);
+                member.pace.overloaded(now, budget);
             }
         }
         let is_read = match owner {
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -276,3 +276,13 @@
     "the configuration of a statement's home leads to another group; it runs on this VM",
     &["vm", "group", "version"],
 );
+
+/// LD-I-1160: member that started or recovered gets its full load.
+pub const MEMBER_AT_PACE: EventKind = event(
+    "LD-I-1160",
+    "member_at_pace",
+    Level::Info,
+    POOL,
+    "member that started or recovered gets its full load from this VM",
+    &["group", "member", "taken_ms", "cuts"],
+);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -93,6 +93,15 @@
     description: "time that a member took for a statement, with the opening of a connection",
 };
 
+/// The time until a member that started or recovered got its full load from this VM.
+pub const MEMBER_RAMP_SECONDS: MetricKind = MetricKind {
+    name: "lycheedoor_member_ramp_seconds",
+    metric_type: MetricType::Histogram,
+    unit: metrics::Unit::Seconds,
+    labels: &["group"],
+    description: "time until a member that started or recovered got its full load",
+};
+
 /// The number of statements that wait in the queue.
 pub const QUEUED_STATEMENTS: MetricKind = MetricKind {
     name: "lycheedoor_queued_statements",
@@ -255,6 +264,7 @@
     &STATEMENT_SECONDS,
     &WAIT_SECONDS,
     &MEMBER_SECONDS,
+    &MEMBER_RAMP_SECONDS,
     &QUEUED_STATEMENTS,
     &RETRIES,
     &CALLER_CONNECTIONS,
