Leave members that answer badly to probes, by evidence of several VMs

A member that failed, hung or was slow while its entry was good kept its share of the reads; each VM found out by itself, statement by statement, and a read whose answer never came waited until its timeout while the member answered others.

For groups whose configuration states no limits for cold members, each VM judges members by its own recent answers. It tells up to 16 homes of the member what it has seen, and their verdicts lower the threshold. At most half of a group's members are left to probes, only for reads that others can serve; the primary keeps what only it can run. A single read whose answer is overdue is repeated once over another connection.

In a test with 30 VMs at 400 statements a second, 54 of 1,000 were late beside a replica that hung, 33 beside one that hung at times, and 17 beside a slow one; with the change at most 1% each, and all 7 homes have left the member within 600 ms. Six of the ten tests fail without it; the others guard its bounds.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -14,6 +14,8 @@
 use lycheedoor_telemetry::metrics::CONFIG_VERSION;
 use lycheedoor_telemetry::metrics::MEMBER_RAMP_SECONDS;
 use lycheedoor_telemetry::metrics::MEMBER_SECONDS;
+use lycheedoor_telemetry::metrics::MEMBERS_LEFT_OUT;
+use lycheedoor_telemetry::metrics::MOVED_READS;
 use lycheedoor_telemetry::metrics::READS;
 use lycheedoor_telemetry::metrics::REFUSALS;
 use lycheedoor_telemetry::metrics::STATEMENT_SECONDS;
@@ -95,6 +97,38 @@
             ];
             emit_limited_by_kind(&events::MEMBER_BACK, &values);
         }
+        Report::MemberLeftOut {
+            group,
+            member,
+            cause,
+            agreeing,
+        } => {
+            let values = [
+                group.as_str().into(),
+                member.as_str().into(),
+                (*cause).into(),
+                (*agreeing).into(),
+            ];
+            emit_limited_by_kind(&events::MEMBER_LEFT_OUT, &values);
+            counter!(MEMBERS_LEFT_OUT.name, "group" => group.to_string()).increment(1);
+        }
+        Report::MemberReadmitted {
+            group,
+            member,
+            after,
+        } => {
+            let values = [
+                group.as_str().into(),
+                member.as_str().into(),
+                millis(*after),
+            ];
+            emit_limited_by_kind(&events::MEMBER_READMITTED, &values);
+        }
+        Report::ReadMoved { group, member } => {
+            let values = [group.as_str().into(), member.as_str().into()];
+            emit_limited_by_kind(&events::READ_MOVED, &values);
+            counter!(MOVED_READS.name, "group" => group.to_string()).increment(1);
+        }
         Report::MemberAtPace {
             group,
             member,
--- a/crates/pool/src/adaptive.rs
+++ b/crates/pool/src/adaptive.rs
@@ -59,6 +59,25 @@
         member.pace.has_room(now, running, share, is_needed)
     }
 
+    /// Records that a statement is sent to the member of a connection.
+    pub(crate) fn note_sent(&mut self, now: MonoTime, link: ConnectionId) {
+        let Some(link) = self.links.get(&link) else {
+            return;
+        };
+        let known = self.groups.get(&link.group);
+        let member = known.and_then(|group| group.members.get(&link.member));
+        if member.is_none_or(|member| member.health.left_out_since().is_none()) {
+            return;
+        }
+        let (group, id) = (link.group.clone(), link.member.clone());
+        let homes = self.group_homes(&group);
+        let (count, _) = homes.count_and_rank(&id, &self.settings.vm);
+        let known = self.groups.get_mut(&group);
+        if let Some(member) = known.and_then(|group| group.members.get_mut(&id)) {
+            member.health.note_sent(now, count);
+        }
+    }
+
     /// Records how long the member of a connection took to answer a statement, for its pace.
     pub(crate) fn record_pace(
         &mut self,
--- a/crates/pool/src/home.rs
+++ b/crates/pool/src/home.rs
@@ -207,6 +207,16 @@
         self.primary.rank_of(vm)
     }
 
+    /// Returns the homes that use a member and follow a VM in their order, at most `max`.
+    pub(crate) fn next_homes(&self, member: &MemberId, vm: &VmId, max: usize) -> Vec<VmId> {
+        let Some(homes) = self.by_member.get(member) else {
+            return Vec::new();
+        };
+        let vms = homes.homes.iter().map(|home| &home.vm);
+        let next = vms.cycle().skip(homes.rank_of(vm)).take(homes.homes.len());
+        next.filter(|home| *home != vm).take(max).cloned().collect()
+    }
+
     /// Returns how many VMs are homes that use a member, and how many of them have a higher rate
     /// than the given VM.
     pub(crate) fn count_and_rank(&self, member: &MemberId, vm: &VmId) -> (u32, u32) {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -24,6 +24,8 @@
 mod lost_links;
 mod member;
 mod member_answers;
+mod member_health;
+mod member_verdicts;
 mod message;
 mod pace;
 mod placement;
--- a/crates/pool/src/link.rs
+++ b/crates/pool/src/link.rs
@@ -69,6 +69,8 @@
     prepared_count: u64,
     unsent: VecDeque<QueuedCommand>,
     in_flight: VecDeque<(Purpose, MonoTime)>,
+    /// The value of `waiting_since` for which the answer was found overdue.
+    overdue_since: Option<MonoTime>,
     pub(crate) used_at: MonoTime,
 }
 
@@ -95,6 +97,7 @@
             prepared_count: 0,
             unsent: VecDeque::new(),
             in_flight: VecDeque::new(),
+            overdue_since: None,
             used_at: now,
         }
     }
@@ -109,6 +112,12 @@
         self.in_transaction && self.has_no_pending_commands()
     }
 
+    /// Returns whether the connection is likely to occupy a slot of the member. One whose answer is
+    /// overdue would keep others waiting until its statement times out.
+    pub(crate) fn occupies_member(&self) -> bool {
+        self.owner != Owner::Unowned && !self.is_idle_in_transaction() && !self.is_overdue()
+    }
+
     /// Returns whether no command is pending, neither queued nor unanswered.
     pub(crate) fn has_no_pending_commands(&self) -> bool {
         self.unsent.is_empty() && self.in_flight.is_empty()
@@ -126,6 +135,16 @@
             .any(|(purpose, _)| *purpose == Purpose::Statement)
     }
 
+    /// Returns whether the next answer was found overdue.
+    pub(crate) fn is_overdue(&self) -> bool {
+        self.overdue_since == Some(self.waiting_since)
+    }
+
+    /// Records that the next answer is overdue.
+    pub(crate) fn set_overdue(&mut self) {
+        self.overdue_since = Some(self.waiting_since);
+    }
+
     /// Queues the commands that change the session values to `wanted`.
     pub(crate) fn apply_session_values(&mut self, wanted: &[(String, String)]) {
         if self.values == wanted {
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -45,6 +45,7 @@
             .last_answer_at
             .map_or(Duration::ZERO, |answered_at| now.since(answered_at));
         if state.failed(now) {
+            self.record_down(now, group, member, actions);
             actions.push(PoolAction::Report(Report::MemberSuspected {
                 group: group.clone(),
                 member: member.clone(),
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::cold::ColdBucket;
+use crate::member_health::Health;
 use crate::pace::Pace;
 use crate::usage::Usage;
 
@@ -104,6 +105,7 @@
     /// How many statements and new connections this VM keeps in progress at the member, if that is
     /// fewer than its connections.
     pub(crate) pace: Pace,
+    pub(crate) health: Health,
     /// Statements of this VM in progress at the member.
     pub(crate) busy: u32,
     /// Connections of this VM that are open or being opened.
@@ -137,6 +139,7 @@
             answer_time: INITIAL_ANSWER_TIME,
             open_time: INITIAL_OPEN_TIME,
             pace: Pace::beginning(now),
+            health: Health::default(),
             busy: 0,
             links: 0,
             usage: Usage::default(),
--- a/crates/pool/src/member_answers.rs
+++ b/crates/pool/src/member_answers.rs
@@ -246,6 +246,8 @@
             member.kept_up();
             self.record_pace(now, id, now.since(sent_at), actions);
         }
+        let fault = answer.result.as_ref().err().map(|error| error.fault);
+        self.record_health(now, id, sent_at, fault, actions);
         let Some(link) = self.links.get(&id) else {
             return;
         };
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -97,6 +97,16 @@
     },
     /// The sender does not pass on what it reads from the store.
     StoreNotRead,
+    /// States whether a member has answered the sender badly; the sender repeats it while it lasts.
+    /// Only for VMs that understand version 1.
+    MemberVerdict {
+        /// The group that the member belongs to.
+        group: GroupId,
+        /// The member whose answers the sender has seen.
+        member: MemberId,
+        /// Whether too many of them were errors, missing or late.
+        is_bad: bool,
+    },
 }
 
 impl PoolMessage {
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -90,6 +90,7 @@
         if needs_position && self.awaits_position(now, &current.route.group) {
             return None;
         }
+        let may_probe = session.transaction.is_none();
         let candidates = group
             .members
             .iter()
@@ -102,6 +103,7 @@
                     !current.excluded.contains(*id)
                         && self.can_serve_reads(now, member)
                         && member.may_have_position(now, position)
+                        && self.may_get_reads(now, group, id, position, may_probe)
                 }
             });
         let candidates = candidates.filter(|(_, member)| self.has_cold_capacity(now, member));
@@ -117,7 +119,7 @@
         {
             if link.is_free() {
                 free.push(link);
-            } else if link.owner != Owner::Unowned && !link.is_idle_in_transaction() {
+            } else if link.occupies_member() {
                 running.push(&link.member);
                 if link.workspace == *workspace {
                     own_busy.push(&link.member);
@@ -134,8 +136,10 @@
             let connection =
                 has_room.then(|| self.find_connection(now, id, member, workspace, &free));
             let connection = connection.flatten();
-            let connection =
-                connection.map(|placement| (self.cost(group, id, member, &placement), placement));
+            let connection = connection.map(|placement| match member.health.is_probe_due(now) {
+                true => (Duration::ZERO, placement),
+                false => (self.cost(group, id, member, &placement), placement),
+            });
             connection.into_iter().chain(wait)
         });
         let best = placements.min_by_key(|(cost, _)| *cost)?;
@@ -329,6 +333,7 @@
             transaction.link = Some(id);
         }
         let cold_limit = self.cold_limit_of_link(id);
+        self.note_sent(now, id);
         if let Some(member) = self.member_of(id) {
             member.busy += u32::from(is_new_owner);
             if let Some(per_s) = cold_limit {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -291,6 +291,7 @@
         self.monitor_successor(now, actions);
         self.check_time_limits(now, actions);
         self.check_links(now, actions);
+        self.review_members(now, actions);
         self.close_surplus_links(now, actions);
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in &groups {
@@ -432,6 +433,11 @@
                 answered_ms,
             } => self.relayed_read_received(now, from, updates, answered_ms, actions),
             PoolMessage::StoreNotRead => self.relay_refused(now, from, actions),
+            PoolMessage::MemberVerdict {
+                group,
+                member,
+                is_bad,
+            } => self.verdict_received(now, from, &group, &member, is_bad, actions),
         }
     }
 
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -85,6 +85,33 @@
         /// How often the load was reduced in between because the member refused or was slow.
         cuts: u32,
     },
+    /// A member is left to probes; reads run elsewhere.
+    MemberLeftOut {
+        /// The group of the member.
+        group: GroupId,
+        /// The member that answers badly.
+        member: MemberId,
+        /// The evidence.
+        cause: &'static str,
+        /// How many other VMs have found the same.
+        agreeing: usize,
+    },
+    /// A member that was left to probes is used again.
+    MemberReadmitted {
+        /// The group of the member.
+        group: GroupId,
+        /// The member that answers well again.
+        member: MemberId,
+        /// How long it was left to probes.
+        after: Duration,
+    },
+    /// A read whose answer was overdue is repeated over another connection.
+    ReadMoved {
+        /// The group of the member.
+        group: GroupId,
+        /// The member that has not answered.
+        member: MemberId,
+    },
     /// A step in the replacement of a primary.
     Failover {
         /// The group whose primary is replaced.
--- a/crates/pool/src/timeouts.rs
+++ b/crates/pool/src/timeouts.rs
@@ -133,6 +133,7 @@
         for (id, cause) in unresponsive {
             self.handle_unresponsive_link(now, id, cause, actions);
         }
+        self.check_overdue_answers(now, actions);
         self.probe_down_members(now, actions);
     }
 
--- a/crates/pool/tests/slots_fleet/mod.rs
+++ b/crates/pool/tests/slots_fleet/mod.rs
@@ -84,8 +84,8 @@
     random: u64,
     /// VMs that cannot reach a member, with the member.
     pub(crate) cut: BTreeSet<(usize, &'static str)>,
-    /// Whether messages between VMs are lost.
-    pub(crate) loses_messages: bool,
+    /// Whether messages on how members answer are lost.
+    pub(crate) loses_verdicts: bool,
     pub(crate) outcomes: Outcomes,
     pub(crate) reports: Vec<(MonoTime, usize, Report)>,
     pub(crate) verdicts_sent: u32,
@@ -111,7 +111,7 @@
             revision: 100,
             random: 0x9e37_79b9_7f4a_7c15,
             cut: BTreeSet::new(),
-            loses_messages: false,
+            loses_verdicts: false,
             outcomes: Outcomes::default(),
             reports: Vec::new(),
             verdicts_sent: 0,
@@ -315,9 +315,10 @@
                 }
             }
             PoolAction::SendPeer { to, message, .. } | PoolAction::AnswerPeer { to, message } => {
-                self.verdicts_sent += u32::from(setup::is_verdict(&message));
+                let is_verdict = setup::is_verdict(&message);
+                self.verdicts_sent += u32::from(is_verdict);
                 let to: usize = to.as_str()[3..].parse().unwrap();
-                if !self.loses_messages {
+                if !(is_verdict && self.loses_verdicts) {
                     self.deliver(vm, to, message);
                 }
             }
--- a/crates/pool/tests/slots_fleet/model.rs
+++ b/crates/pool/tests/slots_fleet/model.rs
@@ -8,6 +8,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
 use lycheedoor_core::types::Term;
+use lycheedoor_pool::ForwardedStatement;
 use lycheedoor_pool::MemberAnswer;
 use lycheedoor_pool::MemberCommand;
 use lycheedoor_pool::MemberError;
@@ -39,7 +40,8 @@
 #[derive(Clone, Debug)]
 enum Job {
     Open(LinkKey),
-    Run(LinkKey),
+    /// A statement, with the number that decides how it ends if that does not depend on the run.
+    Run(LinkKey, Option<u32>),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -65,6 +67,17 @@
     }
 }
 
+/// Returns a number below 1,000 that depends on the identifier of a write alone, so that the same
+/// writes fail in runs that are compared; `None` for reads, which are repeated.
+fn write_draw(id: &str, statement: &ForwardedStatement) -> Option<u32> {
+    let is_write =
+        matches!(statement, ForwardedStatement::AsSent(text) if text.starts_with("WRITE"));
+    let hash = id.bytes().fold(2_166_136_261_u32, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(16_777_619)
+    });
+    is_write.then_some((hash >> 8) % 1_000)
+}
+
 fn error(fault: MemberFault) -> Result<String, MemberError> {
     let text = "model".to_owned();
     Err(MemberError { fault, text })
@@ -81,7 +94,10 @@
             MemberCommand::Forward { .. } if self.queue.len() >= MAX_QUEUED => {
                 self.ready.push((link, answer(error(MemberFault::Busy))));
             }
-            MemberCommand::Forward { .. } => self.queue.push_back(Job::Run(link)),
+            MemberCommand::Forward { id, statement, .. } => {
+                let draw = write_draw(&id, &statement);
+                self.queue.push_back(Job::Run(link, draw));
+            }
             MemberCommand::Begin { .. } => {
                 let mut begun = answer(Ok(String::new()));
                 begun.state = TransactionState::Open;
@@ -93,7 +109,7 @@
     }
 
     pub(crate) fn close(&mut self, link: LinkKey) {
-        let is_other = |job: &Job| !matches!(job, Job::Open(of) | Job::Run(of) if *of == link);
+        let is_other = |job: &Job| !matches!(job, Job::Open(of) | Job::Run(of, _) if *of == link);
         self.queue.retain(is_other);
         self.running.retain(|(_, job)| is_other(job));
     }
@@ -127,8 +143,8 @@
                     let position = Some(Position::new(Term(1), 1));
                     events.push((key, PoolEvent::LinkReady { link, position }));
                 }
-                Job::Run(key) => {
-                    let draw = draws.next().unwrap_or_default();
+                Job::Run(key, draw) => {
+                    let draw = draw.or_else(|| draws.next()).unwrap_or_default();
                     let Behaviour {
                         fails_per_mille,
                         hangs_per_mille,
@@ -153,7 +169,7 @@
         {
             let millis = match job {
                 Job::Open(_) => OPEN_MS,
-                Job::Run(_) => STATEMENT_MS * (100 + self.behaviour.slower_percent) / 100,
+                Job::Run(..) => STATEMENT_MS * (100 + self.behaviour.slower_percent) / 100,
             };
             self.running
                 .push((now + Duration::from_millis(millis), job));
--- a/crates/pool/tests/slots_fleet/setup.rs
+++ b/crates/pool/tests/slots_fleet/setup.rs
@@ -118,6 +118,6 @@
 }
 
 /// Returns whether a message states how a member answers.
-pub(super) fn is_verdict(_message: &PoolMessage) -> bool {
-    false
+pub(super) fn is_verdict(message: &PoolMessage) -> bool {
+    matches!(message, PoolMessage::MemberVerdict { .. })
 }
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -82,4 +82,7 @@
     &REPLY_IGNORED,
     &ROUTE_DIFFERS,
     &MEMBER_AT_PACE,
+    &MEMBER_LEFT_OUT,
+    &MEMBER_READMITTED,
+    &READ_MOVED,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -286,3 +286,33 @@
     "member that started or recovered gets its full load from this VM",
     &["group", "member", "taken_ms", "cuts"],
 );
+
+/// LD-W-1161: member answers badly; it gets only probes.
+pub const MEMBER_LEFT_OUT: EventKind = event(
+    "LD-W-1161",
+    "member_left_out",
+    Level::Warn,
+    POOL,
+    "member answers badly; reads run elsewhere except for probes",
+    &["group", "member", "cause", "agreeing"],
+);
+
+/// LD-I-1162: member that was left to probes is used again.
+pub const MEMBER_READMITTED: EventKind = event(
+    "LD-I-1162",
+    "member_readmitted",
+    Level::Info,
+    POOL,
+    "member that was left to probes is used again",
+    &["group", "member", "after_ms"],
+);
+
+/// LD-I-1163: read whose answer was overdue is repeated over another connection.
+pub const READ_MOVED: EventKind = event(
+    "LD-I-1163",
+    "read_moved",
+    Level::Info,
+    POOL,
+    "read whose answer was overdue is repeated over another connection",
+    &["group", "member"],
+);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -102,6 +102,24 @@
     description: "time until a member that started or recovered got its full load",
 };
 
+/// How often this VM left a member that answered badly to probes.
+pub const MEMBERS_LEFT_OUT: MetricKind = MetricKind {
+    name: "lycheedoor_members_left_out_total",
+    metric_type: MetricType::Counter,
+    unit: metrics::Unit::Count,
+    labels: &["group"],
+    description: "times that a member was left to probes because it answered badly",
+};
+
+/// The number of reads that were repeated because their answers were overdue.
+pub const MOVED_READS: MetricKind = MetricKind {
+    name: "lycheedoor_moved_reads_total",
+    metric_type: MetricType::Counter,
+    unit: metrics::Unit::Count,
+    labels: &["group"],
+    description: "reads repeated over another connection because the answer was overdue",
+};
+
 /// The number of statements that wait in the queue.
 pub const QUEUED_STATEMENTS: MetricKind = MetricKind {
     name: "lycheedoor_queued_statements",
@@ -265,6 +283,8 @@
     &WAIT_SECONDS,
     &MEMBER_SECONDS,
     &MEMBER_RAMP_SECONDS,
+    &MEMBERS_LEFT_OUT,
+    &MOVED_READS,
     &QUEUED_STATEMENTS,
     &RETRIES,
     &CALLER_CONNECTIONS,
