--- a/crates/pool/src/member_verdicts.rs
+++ b/crates/pool/src/member_verdicts.rs
@@ -22,6 +22,8 @@
 use crate::member_health::HealthChange;
 use crate::member_health::VERDICT_TIME_TO_LIVE;
 use crate::message::PoolMessage;
+use crate::placement::Requirement;
+use crate::placement::requirement_of;
 use crate::pool::Pool;
 use crate::report::Report;
 use crate::session::Operation;
@@ -139,25 +141,44 @@
                 member.health.note_bad(now);
             }
             self.review_member(now, &group, &member, actions);
-            if self.is_movable_read(owner) {
+            if self.is_movable_read(now, &group, &member, owner) {
                 actions.push(PoolAction::Report(Report::ReadMoved { group, member }));
                 self.abort_link(now, id, actions);
             }
         }
     }
 
-    /// Returns whether the owner of a connection waits for a single read that may run again.
-    fn is_movable_read(&self, owner: Owner) -> bool {
-        let Owner::Caller(caller) = owner else {
+    /// Returns whether the owner of a connection to a member waits for a single read that may run
+    /// again, and that another member can serve. The same member would only get more work.
+    fn is_movable_read(
+        &self,
+        now: MonoTime,
+        group: &GroupId,
+        member: &MemberId,
+        owner: Owner,
+    ) -> bool {
+        let (Owner::Caller(caller), Some(group)) = (owner, self.groups.get(group)) else {
             return false;
         };
         let session = self.sessions.get(&caller);
         let session = session.filter(|session| session.transaction.is_none());
-        let current = session.and_then(|session| session.current.as_ref());
-        current.is_some_and(|current| {
+        let current = session.and_then(|session| Some((session, session.current.as_ref()?)));
+        current.is_some_and(|(session, current)| {
+            let Requirement::AtLeast(required) = requirement_of(now, session, current, group)
+            else {
+                return false;
+            };
+            let can_serve = |(other, state): (&MemberId, &Member)| {
+                other != member
+                    && !current.excluded.contains(other)
+                    && self.can_serve_reads(now, state)
+                    && state.may_have_position(now, required)
+                    && self.may_get_reads(now, group, other, required, false)
+            };
             current.operation.access() == Access::Read
                 && !matches!(current.operation, Operation::Commit)
                 && current.attempts <= MAX_OVERDUE_MOVES
+                && group.members.iter().any(can_serve)
         })
     }
 
