--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -45,6 +45,7 @@
             .last_answer_at
             .map_or(Duration::ZERO, |answered_at| now.since(answered_at));
         if state.failed(now) {
+            self.record_down(now, group, member, actions);
             actions.push(PoolAction::Report(Report::MemberSuspected {
                 group: group.clone(),
                 member: member.clone(),
@@ -74,7 +75,7 @@
                 if let Some(member) = self.member_of(id) {
                     member.refused_connection(now);
                     if is_overloaded {
-                        member.overloaded(now, budget);
+                        member.pace.overloaded(now, budget);
                     }
                 }
             }
--- a/crates/pool/src/member_answers.rs
+++ b/crates/pool/src/member_answers.rs
@@ -221,7 +221,7 @@
         let (delay, excluded) = match fault {
             MemberFault::Busy => {
                 if let Some(state) = group.members.get_mut(member) {
-                    state.overloaded(now, budget);
+                    state.pace.overloaded(now, budget);
                 }
                 (RETRY_DELAY, None)
             }
@@ -255,7 +255,10 @@
         {
             member.answered_in(now.since(sent_at));
             member.kept_up();
+            self.record_pace(now, id, now.since(sent_at), actions);
         }
+        let fault = answer.result.as_ref().err().map(|error| error.fault);
+        self.record_health(now, id, sent_at, fault, actions);
         let Some(link) = self.links.get(&id) else {
             return;
         };
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -100,6 +100,16 @@
     StoreNotRead,
     /// Hands on the counts of operations that are reported to the platform.
     Usage(Box<UsageMessage>),
+    /// States whether a member has answered the sender badly; the sender repeats it while it lasts.
+    /// Only for VMs that understand version 1.
+    MemberVerdict {
+        /// The group that the member belongs to.
+        group: GroupId,
+        /// The member whose answers the sender has seen.
+        member: MemberId,
+        /// Whether too many of them were errors, missing or late.
+        is_bad: bool,
+    },
 }
 
 impl PoolMessage {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -307,6 +307,7 @@
         self.monitor_successor(now, actions);
         self.check_time_limits(now, actions);
         self.check_links(now, actions);
+        self.review_members(now, actions);
         self.close_surplus_links(now, actions);
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in &groups {
@@ -452,6 +453,11 @@
             PoolMessage::Usage(message) => {
                 self.usage_message_received(now, from, incarnation, *message, actions);
             }
+            PoolMessage::MemberVerdict {
+                group,
+                member,
+                is_bad,
+            } => self.verdict_received(now, from, &group, &member, is_bad, actions),
         }
     }
 
--- a/crates/pool/src/timeouts.rs
+++ b/crates/pool/src/timeouts.rs
@@ -133,6 +133,7 @@
         for (id, cause) in unresponsive {
             self.handle_unresponsive_link(now, id, cause, actions);
         }
+        self.check_overdue_answers(now, actions);
         self.probe_down_members(now, actions);
     }
 
@@ -164,7 +165,7 @@
             let budget = self.link_budget(&group, &member);
             if let Some(member) = self.member_of(id) {
                 member.refused_connection(now);
-                member.overloaded(now, budget);
+                member.pace.overloaded(now, budget);
             }
         }
         let is_read = match owner {
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -86,4 +86,8 @@
     &USAGE_REPORTED,
     &USAGE_MISSED,
     &USAGE_LOST,
+    &MEMBER_AT_PACE,
+    &MEMBER_LEFT_OUT,
+    &MEMBER_READMITTED,
+    &READ_MOVED,
 ];
