--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -1,13 +1,13 @@
 //! Incremental decoding of HTTP messages.
 
-use bytes::Buf;
+use bytes::Bytes;
 use bytes::BytesMut;
 
 use crate::message::Method;
 use crate::message::Request;
 use crate::message::Response;
 
-const MAX_HEADER_FIELDS: usize = 32;
+pub(crate) const MAX_HEADER_FIELDS: usize = 32;
 
 /// Size limits of one message.
 #[derive(Clone, Copy, Debug)]
@@ -88,13 +88,13 @@
             return check_head_size(&self.buffer, &self.limits);
         };
         let (method, target) = head.start_line;
-        let body = take_body(
+        let message = take_message(
             &mut self.buffer,
             head.head_bytes,
             head.body_bytes,
             &self.limits,
         )?;
-        Ok(body.map(|body| Request {
+        Ok(message.map(|(_, body)| Request {
             method,
             target,
             body,
@@ -134,13 +134,13 @@
             return check_head_size(&self.buffer, &self.limits);
         };
         let status = head.start_line;
-        let body = take_body(
+        let message = take_message(
             &mut self.buffer,
             head.head_bytes,
             head.body_bytes,
             &self.limits,
         )?;
-        Ok(body.map(|body| Response { status, body }))
+        Ok(message.map(|(head, body)| Response { status, head, body }))
     }
 }
 
@@ -222,16 +222,17 @@
     Ok(length.unwrap_or(0))
 }
 
-fn take_body(
+/// Removes a complete message from the buffer; returns its head and its body.
+fn take_message(
     buffer: &mut BytesMut,
     head_bytes: usize,
     body_bytes: usize,
     limits: &Limits,
-) -> Result<Option<Vec<u8>>, DecodeError> {
+) -> Result<Option<(Bytes, Vec<u8>)>, DecodeError> {
     check_size(body_bytes, limits.body_bytes, DecodeError::BodyTooLarge)?;
     if buffer.len() - head_bytes < body_bytes {
         return Ok(None);
     }
-    buffer.advance(head_bytes);
-    Ok(Some(buffer.split_to(body_bytes).to_vec()))
+    let head = buffer.split_to(head_bytes).freeze();
+    Ok(Some((head, buffer.split_to(body_bytes).to_vec())))
 }
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -2,6 +2,10 @@
 
 use std::fmt;
 
+use bytes::Bytes;
+
+use crate::decode::MAX_HEADER_FIELDS;
+
 /// A request method; the ones that this project uses are supported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Method {
@@ -67,10 +71,25 @@
 }
 
 /// A decoded response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Response {
     /// The status code of the status line.
     pub status: u16,
+    /// The status line and the header fields, as they were received.
+    pub head: Bytes,
     /// The body; empty when there is none.
     pub body: Vec<u8>,
 }
+
+impl Response {
+    /// Returns the value of the first header field with a name; `None` without one, or if it is no
+    /// text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
+        let mut parsed = httparse::Response::new(&mut headers);
+        parsed.parse(&self.head).ok()?;
+        let mut fields = parsed.headers.iter();
+        let field = fields.find(|field| field.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(field.value).ok().map(str::trim)
+    }
+}
--- a/crates/node/src/codecs.rs
+++ b/crates/node/src/codecs.rs
@@ -14,6 +14,7 @@
 use lycheedoor_pool::ObjectAnswer;
 use lycheedoor_pool::ObjectCall;
 use lycheedoor_pool::PromotionOutcome;
+use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::WriteOutcome;
 
 /// A message that cannot be decoded; the connection cannot be used any further.
@@ -108,12 +109,16 @@
         &self,
         name: &str,
         record: &FleetRecord,
-        expected: Option<u64>,
+        expected: Option<StoreRevision>,
         out: &mut Vec<u8>,
     );
 
     /// Appends a complete HTTP request that removes the record if its revision is `expected`.
-    fn encode_removal(&self, name: &str, expected: u64, out: &mut Vec<u8>);
+    fn encode_removal(&self, name: &str, expected: StoreRevision, out: &mut Vec<u8>);
+
+    /// Returns how often the store has come back from a copy, by any of its responses; `None` if the
+    /// response does not tell.
+    fn decode_era(&self, response: &Response) -> Option<u64>;
 
     /// Returns the outcome of a write or removal from its response.
     fn decode_write(&self, response: &Response) -> WriteOutcome;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -67,6 +67,8 @@
     pub(crate) hybrid_clock: HybridClock,
     pub(crate) codecs: Codecs,
     pub(crate) addresses: Addresses,
+    /// The latest era of the store that a response has told.
+    pub(crate) store_era: u64,
     pub(crate) metrics: MetricsHandle,
     log: LogBuffer,
     pub(crate) load: Load,
@@ -103,6 +105,7 @@
             hybrid_clock: HybridClock::default(),
             codecs: setup.codecs,
             addresses: setup.addresses,
+            store_era: 0,
             metrics: setup.metrics,
             log: setup.log,
             load: Load::default(),
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -48,12 +48,13 @@
             claims_primary,
             revision,
         } => {
+            let revision = revision.to_string();
             let values = [
                 group.as_str().into(),
                 member.as_str().into(),
                 (*state).into(),
                 (*claims_primary).into(),
-                (*revision).into(),
+                revision.as_str().into(),
             ];
             emit_limited_by_kind(&events::MEMBER_STATE, &values);
         }
@@ -65,7 +66,12 @@
             let member = member
                 .as_ref()
                 .map_or(ABSENT_VALUE, |member| member.as_str());
-            let values = [group.as_str().into(), member.into(), (*evidence).into()];
+            let evidence = evidence.to_string();
+            let values = [
+                group.as_str().into(),
+                member.into(),
+                evidence.as_str().into(),
+            ];
             emit_limited_by_kind(&events::PRIMARY_BELIEVED, &values);
         }
         Report::MemberSuspected {
@@ -173,6 +179,15 @@
             let values = [vm.as_str().into(), (*cause).into()];
             emit_limited_by_kind(&events::RELAY_LOST, &values);
         }
+        Report::StoreRestored { era } => emit(&events::STORE_RESTORED, &[(*era).into()]),
+        Report::RestoredObjectMissing { kind, name } => {
+            let values = [kind.as_str().into(), name.as_str().into()];
+            emit_limited_by_kind(&events::RESTORED_OBJECT_MISSING, &values);
+        }
+        Report::RestoredObjectDropped { kind, name } => {
+            let values = [kind.as_str().into(), name.as_str().into()];
+            emit_limited_by_kind(&events::RESTORED_OBJECT_DROPPED, &values);
+        }
         Report::StoreBack { outage } => emit(&events::STORE_BACK, &[millis(*outage)]),
         Report::StopStarted { sessions } => {
             emit(&events::STOP_STARTED, &[(*sessions).into()]);
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -15,6 +15,7 @@
 use lycheedoor_pool::ObjectCall;
 use lycheedoor_pool::ObjectKind;
 use lycheedoor_pool::PoolEvent;
+use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::WriteOutcome;
 use lycheedoor_telemetry::emit_limited_by_cause;
 use lycheedoor_telemetry::events;
@@ -198,11 +199,21 @@
                     warn_unreachable(kind.as_str(), &cause);
                 }
                 count_call(kind.as_str(), &answer);
+                self.note_store_era(cx, &response);
                 self.handle_event(cx, PoolEvent::ObjectsRead { kind, answer });
             }
         }
     }
 
+    /// Tells the pool about the era of a response if it is a new one.
+    fn note_store_era(&mut self, cx: CX![], response: &Response) {
+        let era = self.codecs.store.decode_era(response);
+        if let Some(era) = era.filter(|era| *era > self.store_era) {
+            self.store_era = era;
+            self.handle_event(cx, PoolEvent::StoreEraSeen { era });
+        }
+    }
+
     fn read_timed_out(&mut self, cx: CX![], kind: ObjectKind) {
         self.read_failed(cx, kind, "timed out");
     }
@@ -264,6 +275,7 @@
             HttpProgress::Disconnected => self.finish_probe(cx, false),
             HttpProgress::Answered(response) => {
                 let answer = self.codecs.store.decode_read(&ObjectCall::Probe, &response);
+                self.note_store_era(cx, &response);
                 self.finish_probe(cx, answer != ObjectAnswer::Unavailable);
             }
         }
@@ -306,7 +318,7 @@
         cx: CX![],
         name: &str,
         record: &FleetRecord,
-        expected: Option<u64>,
+        expected: Option<StoreRevision>,
     ) {
         let mut bytes = Vec::new();
         let store = &self.codecs.store;
@@ -315,7 +327,7 @@
         self.start_next_write(cx);
     }
 
-    pub(crate) fn remove_record(&mut self, cx: CX![], name: &str, expected: u64) {
+    pub(crate) fn remove_record(&mut self, cx: CX![], name: &str, expected: StoreRevision) {
         let mut bytes = Vec::new();
         let store = &self.codecs.store;
         store.encode_removal(name, expected, &mut bytes);
@@ -358,6 +370,7 @@
             HttpProgress::Disconnected => self.write_failed(cx),
             HttpProgress::Answered(response) => {
                 let outcome = self.codecs.store.decode_write(&response);
+                self.note_store_era(cx, &response);
                 self.finish_write(cx, outcome);
             }
         }
--- a/crates/platform/tests/wire.rs
+++ b/crates/platform/tests/wire.rs
@@ -55,6 +55,7 @@
     let response = Response {
         status: 304,
         body: Vec::new(),
+        ..Response::default()
     };
     let answer = decode_answer(&request, &response).unwrap();
     assert_eq!(answer, PlatformAnswer::Unchanged { version: 9 });
@@ -65,6 +66,7 @@
     let response = Response {
         status: 200,
         body: br#"{"version":"sample-secret","value":"sample-secret"}"#.to_vec(),
+        ..Response::default()
     };
     let error = decode_answer(&put("config", Vec::new()), &response).unwrap_err();
     assert!(!format!("{error} {error:?}").contains("sample-secret"));
@@ -82,13 +84,13 @@
         let mut body = br#"[{"vm":"a","data_centre":"d","peer_address":"127.0.0.1:1","operator_address":"127.0.0.1:2","state":"live"}]"#.to_vec();
         let index = index % body.len();
         body[index] = byte;
-        let _ = decode_vms(&Response { status, body });
+        let _ = decode_vms(&Response { status, body, ..Response::default() });
         let mut body = br#"{"version":3,"value":{"hex":"00ff"}}"#.to_vec();
         let index = index % body.len();
         body[index] = byte;
         let get = PlatformRequest::Get { object: "config".into(), known_version: 0 };
-        let _ = decode_answer(&get, &Response { status, body: body.clone() });
-        let _ = decode_answer(&put("config", Vec::new()), &Response { status, body });
+        let _ = decode_answer(&get, &Response { status, body: body.clone(), ..Response::default() });
+        let _ = decode_answer(&put("config", Vec::new()), &Response { status, body, ..Response::default() });
     }
 
     #[test]
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -25,16 +25,17 @@
 use crate::store::ObjectAnswer;
 use crate::store::ObjectCall;
 use crate::store::ObjectKind;
+use crate::store_revision::StoreRevision;
 
 /// The outcome of a conditional write to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// The write took effect; the record now has this revision.
-    Written(u64),
+    Written(StoreRevision),
     /// The object does not have the expected revision; nothing was written.
     Conflict {
-        /// The current revision of the object, or 0 if it does not exist.
-        revision: u64,
+        /// The current revision of the object, or revision 0 of the era if it does not exist.
+        revision: StoreRevision,
         /// The current record; `None` if it does not exist.
         record: Option<FleetRecord>,
     },
@@ -113,6 +114,11 @@
         /// The answer of the store, or that there was none.
         answer: ObjectAnswer,
     },
+    /// The store has answered any call in an era. Answers of an earlier era may still follow.
+    StoreEraSeen {
+        /// The era of the answer.
+        era: u64,
+    },
     /// A probe of the store has ended.
     StoreProbed {
         /// Whether the store has answered in time.
@@ -244,14 +250,14 @@
         /// The content to write.
         record: FleetRecord,
         /// The revision that the record must have; `None` if it must not exist yet.
-        expected: Option<u64>,
+        expected: Option<StoreRevision>,
     },
     /// Remove a record of the fleet if it still has the expected revision.
     RemoveRecord {
         /// The name of the record in the store.
         name: String,
         /// The revision that the record must have.
-        expected: u64,
+        expected: StoreRevision,
     },
     /// Ask the platform to promote a member.
     Promote {
--- a/crates/pool/src/failover/claim.rs
+++ b/crates/pool/src/failover/claim.rs
@@ -86,12 +86,12 @@
         let is_reached = reached_by.is_some();
         group.primary_reached_by = reached_by;
         if is_reached {
-            report_step(id, "another VM reaches the primary", primary, 0, actions);
+            report_step(id, "another VM reaches the primary", primary, None, actions);
             group.failover.pause(now, REJECTED_ATTEMPT_DELAY);
             return self.move_waiting_to_reaching_vm(now, id, actions);
         }
         if !has_majority && !is_unregistered {
-            report_step(id, "too few VMs answer", primary, 0, actions);
+            report_step(id, "too few VMs answer", primary, None, actions);
             return group.failover.pause(now, REJECTED_ATTEMPT_DELAY);
         }
         self.claim_group(now, id, actions);
@@ -118,7 +118,7 @@
             sequence: self.claim_sequence,
             replaces: group.primary.clone(),
         };
-        report_step(id, "claiming", group.primary.clone(), 0, actions);
+        report_step(id, "claiming", group.primary.clone(), None, actions);
         actions.push(PoolAction::WriteRecord {
             name,
             record,
@@ -155,8 +155,8 @@
             }
             FleetRecord::Vm { .. } => false,
         };
-        let token = match outcome {
-            WriteOutcome::Written(token) => token,
+        let claim = match outcome {
+            WriteOutcome::Written(claim) => claim,
             // An earlier claim, which got no answer, took effect. Its token has not been used.
             WriteOutcome::Conflict {
                 revision,
@@ -165,7 +165,13 @@
             WriteOutcome::Conflict { revision, record } => {
                 failover.unanswered_claims.clear();
                 let member = group.primary.clone();
-                report_step(id, "another VM has claimed", member, revision, actions);
+                report_step(
+                    id,
+                    "another VM has claimed",
+                    member,
+                    Some(revision),
+                    actions,
+                );
                 let pause = if record.is_some() {
                     PEER_CLAIM_DELAY
                 } else {
@@ -175,7 +181,13 @@
             }
             WriteOutcome::Unknown => {
                 failover.unanswered_claims.extend(failover.latest_claim);
-                report_step(id, "claim has no answer", group.primary.clone(), 0, actions);
+                report_step(
+                    id,
+                    "claim has no answer",
+                    group.primary.clone(),
+                    None,
+                    actions,
+                );
                 return group.failover.pause(now, FAILED_STEP_DELAY);
             }
         };
@@ -183,9 +195,9 @@
         if group.failover.pending_cause.is_none() {
             return group.failover.pause(now, Duration::ZERO);
         }
-        report_step(id, "claimed", group.primary.clone(), token, actions);
+        report_step(id, "claimed", group.primary.clone(), Some(claim), actions);
         group.failover.phase = Phase::QueryingMembers {
-            token,
+            claim,
             deadline: now + MEMBER_ANSWER_TIMEOUT,
             next_query_at: now,
             received: BTreeMap::new(),
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! Any VM may replace it. The VMs are ranked for each group, and a VM starts later the more VMs
 //! rank before it. A VM asks the others whether they still reach the primary, then claims the group
-//! by a conditional write to the store. The revision of that write is the fencing token, so no two
-//! claims share a token and the platform refuses the older one. The replica with the newest
-//! received position is promoted.
+//! by a conditional write to the store. The revision of that write, with its era, is the fencing
+//! token, so no two claims share a token and the platform refuses the older one. The replica with the
+//! newest received position is promoted.
 //!
 //! A primary that is draining, or whose data centre is taken out of service, is stepped down first,
 //! so that the replicas can receive its last commits before one of them is promoted.
@@ -30,6 +30,7 @@
 use crate::pool::Pool;
 use crate::report::Report;
 use crate::session::Stage;
+use crate::store_revision::StoreRevision;
 
 /// How long a primary has to be unreachable before it is replaced. This leaves time for a second
 /// connection attempt, so that a single reset connection does not cause a failover.
@@ -74,7 +75,7 @@
     },
     Claiming,
     QueryingMembers {
-        token: u64,
+        claim: StoreRevision,
         deadline: MonoTime,
         next_query_at: MonoTime,
         /// The received position of each member that has answered.
@@ -83,7 +84,7 @@
         step_down_position: Option<Position>,
     },
     Promoting {
-        token: u64,
+        claim: StoreRevision,
         member: MemberId,
         deadline: MonoTime,
     },
@@ -109,10 +110,10 @@
 
     /// Records a claim that was read from the store. A newer claim of another VM ends this VM's own
     /// attempt.
-    pub(crate) fn claim_seen(&mut self, now: MonoTime, revision: u64, is_own: bool) {
+    pub(crate) fn claim_seen(&mut self, now: MonoTime, revision: StoreRevision, is_own: bool) {
         let is_older = match &self.phase {
-            Phase::QueryingMembers { token, .. } | Phase::Promoting { token, .. } => {
-                *token < revision
+            Phase::QueryingMembers { claim, .. } | Phase::Promoting { claim, .. } => {
+                *claim < revision
             }
             Phase::Idle | Phase::QueryingPeers { .. } => true,
             Phase::Claiming => false,
@@ -123,6 +124,26 @@
         }
     }
 
+    /// Ends an attempt whose claim the store may have lost. A promotion that has been requested cannot
+    /// be taken back, so its answer is still awaited.
+    pub(crate) fn drop_claim(
+        &mut self,
+        now: MonoTime,
+        group: &GroupId,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        self.unanswered_claims.clear();
+        self.latest_claim = None;
+        let claim = match &self.phase {
+            Phase::Idle | Phase::Promoting { .. } => return,
+            Phase::QueryingMembers { claim, .. } => Some(*claim),
+            Phase::QueryingPeers { .. } | Phase::Claiming => None,
+        };
+        let step = "attempt ended since the store was restored";
+        report_step(group, step, self.claimed_primary.clone(), claim, actions);
+        self.pause(now, Duration::ZERO);
+    }
+
     /// Returns whether the answer to a claim is outstanding.
     pub(crate) fn awaits_claim(&self, sequence: u64) -> bool {
         matches!(self.phase, Phase::Claiming) && self.latest_claim == Some(sequence)
@@ -156,7 +177,7 @@
             Some(_) => self.own_rank(id),
             None => 0,
         };
-        let store_is_lost = self.is_store_lost();
+        let can_claim = !self.is_store_lost() && self.knows_records_of_era();
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
@@ -177,7 +198,7 @@
             Phase::Idle => {
                 let due = since + DELAY_PER_RANK * rank;
                 // Without the store no claim can be written. Another VM may still reach the store.
-                if now >= due && now >= failover.not_before && !store_is_lost {
+                if now >= due && now >= failover.not_before && can_claim {
                     self.begin_replacement(now, id, cause, actions);
                 }
             }
@@ -268,7 +289,13 @@
                     deadline: now + PEER_ANSWER_TIMEOUT,
                     peer_answers: BTreeMap::new(),
                 };
-                report_step(id, "asking the other VMs", Some(member.clone()), 0, actions);
+                report_step(
+                    id,
+                    "asking the other VMs",
+                    Some(member.clone()),
+                    None,
+                    actions,
+                );
                 let group = id.clone();
                 self.send_all_peers(&PoolMessage::AskContact { group, member }, actions);
             }
@@ -312,9 +339,10 @@
     group: &GroupId,
     step: &'static str,
     member: Option<MemberId>,
-    token: u64,
+    claim: Option<StoreRevision>,
     actions: &mut Vec<PoolAction>,
 ) {
+    let token = claim.map_or(0, StoreRevision::token);
     actions.push(PoolAction::Report(Report::Failover {
         group: group.clone(),
         step,
--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -7,6 +7,7 @@
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::VmId;
 
 use crate::event::PoolAction;
 use crate::event::PromotionOutcome;
@@ -24,6 +25,8 @@
 use crate::pool::Pool;
 use crate::statement::MemberAnswer;
 use crate::statement::MemberCommand;
+use crate::store_era::STORE_ERA_VERSION;
+use crate::store_revision::StoreRevision;
 
 /// How long a primary has to be unreachable, or report that it is not the primary, before the
 /// members are asked which of them is.
@@ -146,7 +149,7 @@
                 0 => "no replica answers",
                 _ => "no replica is known to have all commits",
             };
-            report_step(id, step, group.primary.clone(), 0, actions);
+            report_step(id, step, group.primary.clone(), None, actions);
             return group.failover.pause(now, FAILED_STEP_DELAY);
         }
         if now >= *next_query_at {
@@ -270,12 +273,15 @@
             return;
         };
         let Phase::QueryingMembers {
-            token, received, ..
+            claim, received, ..
         } = &group.failover.phase
         else {
             return;
         };
-        let token = *token;
+        let claim = *claim;
+        if group.is_promoted_after(claim) {
+            return group.failover.pause(now, FAILED_STEP_DELAY);
+        }
         let newest = candidates
             .iter()
             .filter_map(|member| Some((received.get(member)?, Reverse(member), member)))
@@ -284,16 +290,16 @@
             return;
         };
         let member = member.clone();
-        report_step(id, "promoting", Some(member.clone()), token, actions);
+        report_step(id, "promoting", Some(member.clone()), Some(claim), actions);
         group.failover.phase = Phase::Promoting {
-            token,
+            claim,
             member: member.clone(),
             deadline: now + PROMOTION_TIMEOUT,
         };
         actions.push(PoolAction::Promote {
             group: id.clone(),
             member,
-            token,
+            token: claim.token(),
         });
     }
 
@@ -308,36 +314,84 @@
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
-        let Phase::Promoting { token, member, .. } = &group.failover.phase else {
+        let Phase::Promoting { claim, member, .. } = &group.failover.phase else {
             return;
         };
-        if *token != answered_token {
+        if claim.token() != answered_token {
             return;
         }
-        let (token, member) = (*token, member.clone());
+        let (claim, member) = (*claim, member.clone());
         match outcome {
             PromotionOutcome::Accepted => {
-                report_step(id, "promoted", Some(member.clone()), token, actions);
-                group.record_promotion(member.clone(), token);
-                let message = PoolMessage::Promoted {
-                    group: id.clone(),
-                    member,
-                    token,
-                };
-                self.send_all_peers(&message, actions);
+                report_step(id, "promoted", Some(member.clone()), Some(claim), actions);
+                group.record_promotion(member.clone(), claim);
+                self.announce_promotion(id, &member, claim, actions);
                 self.refresh_group(now, id, actions);
             }
             PromotionOutcome::Refused => {
-                report_step(id, "promotion refused", Some(member), token, actions);
+                report_step(id, "promotion refused", Some(member), Some(claim), actions);
                 group.failover.pause(now, FAILED_STEP_DELAY);
             }
             PromotionOutcome::Unknown => {
-                report_step(id, "promotion has no answer", Some(member), token, actions);
+                report_step(
+                    id,
+                    "promotion has no answer",
+                    Some(member),
+                    Some(claim),
+                    actions,
+                );
                 group.failover.pause(now, FAILED_STEP_DELAY);
             }
         }
     }
 
+    /// Tells the other VMs about an accepted promotion. VMs of builds that know no eras compare the
+    /// revision alone.
+    fn announce_promotion(
+        &self,
+        group: &GroupId,
+        member: &MemberId,
+        claim: StoreRevision,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let own = &self.settings.vm;
+        for vm in self.roster.names().filter(|vm| *vm != own) {
+            let token = match self.roster.understands(vm, STORE_ERA_VERSION) {
+                true => claim.token(),
+                false => claim.revision,
+            };
+            let message = PoolMessage::Promoted {
+                group: group.clone(),
+                member: member.clone(),
+                token,
+            };
+            self.send_peer(vm, message, actions);
+        }
+    }
+
+    /// Handles the news of a promotion that another VM requested.
+    pub(crate) fn promotion_announced(
+        &mut self,
+        now: MonoTime,
+        from: &VmId,
+        group: &GroupId,
+        member: MemberId,
+        token: u64,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let mut claim = StoreRevision::from_token(token);
+        if claim.era > 0 {
+            self.note_store_era(now, claim.era, actions);
+        } else if !self.roster.understands(from, STORE_ERA_VERSION) {
+            claim.era = self.store_era();
+        }
+        if let Some(known) = self.groups.get_mut(group) {
+            known.record_promotion(member, claim);
+        }
+        self.refresh_group(now, group, actions);
+        self.dispatch_group(now, group, actions);
+    }
+
     /// Ends a promotion that is complete or has timed out.
     pub(crate) fn check_promotion(&mut self, now: MonoTime, id: &GroupId) {
         let Some(group) = self.groups.get_mut(id) else {
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -16,6 +16,7 @@
 use crate::failover::Failover;
 use crate::member::Member;
 use crate::primary_position::SentRequest;
+use crate::store_revision::StoreRevision;
 
 /// The number of samples of the primary's position that are kept. At ten samples a second they
 /// cover the usual staleness bounds.
@@ -46,8 +47,8 @@
     pub(crate) primary: Option<MemberId>,
     /// Another VM that reached the primary when this one last asked because it does not.
     pub(crate) primary_reached_by: Option<VmId>,
-    /// The promotion with the highest fencing token that the platform has accepted.
-    latest_promotion: Option<(MemberId, u64)>,
+    /// The promotion with the latest claim that the platform has accepted.
+    latest_promotion: Option<(MemberId, StoreRevision)>,
     /// Whether a promotion was recorded since the primary was determined.
     has_new_promotion: bool,
     samples: VecDeque<Sample>,
@@ -99,13 +100,13 @@
     }
 
     /// Records a promotion that the platform accepted.
-    pub(crate) fn record_promotion(&mut self, member: MemberId, token: u64) {
+    pub(crate) fn record_promotion(&mut self, member: MemberId, claim: StoreRevision) {
         if self
             .latest_promotion
             .as_ref()
-            .is_none_or(|known| known.1 < token)
+            .is_none_or(|known| known.1 < claim)
         {
-            self.latest_promotion = Some((member, token));
+            self.latest_promotion = Some((member, claim));
             self.has_new_promotion = true;
         }
     }
@@ -118,16 +119,23 @@
         self.has_new_promotion || self.members.values().any(is_missing)
     }
 
-    /// Determines the primary again and returns the store revision or fencing token that names it,
-    /// or `None` if the primary has not changed.
+    /// Returns whether a promotion by a later claim is known.
+    pub(crate) fn is_promoted_after(&self, claim: StoreRevision) -> bool {
+        let latest = self.latest_promotion.as_ref();
+        latest.is_some_and(|latest| latest.1 > claim)
+    }
+
+    /// Determines the primary again and returns the store revision of the entry or claim that names
+    /// it, or `None` if the primary has not changed.
     ///
-    /// The revisions of entries and the fencing tokens of promotions come from the same counter,
-    /// the revision of the store, so the highest one wins.
-    pub(crate) fn update_primary(&mut self, now: MonoTime) -> Option<u64> {
+    /// The revisions of entries and those of claims, which are the fencing tokens of promotions, come
+    /// from the same counter, so the highest one wins.
+    pub(crate) fn update_primary(&mut self, now: MonoTime) -> Option<StoreRevision> {
         self.has_new_promotion = false;
         let best = self.primary_by_evidence(now);
-        let (member, evidence) =
-            best.map_or((None, 0), |(member, revision)| (Some(member), revision));
+        let (member, evidence) = best
+            .map(|(member, revision)| (Some(member), revision))
+            .unwrap_or_default();
         if member == self.primary {
             return None;
         }
@@ -136,8 +144,8 @@
         Some(evidence)
     }
 
-    fn primary_by_evidence(&self, now: MonoTime) -> Option<(MemberId, u64)> {
-        let promotion_token = |id: &MemberId| {
+    fn primary_by_evidence(&self, now: MonoTime) -> Option<(MemberId, StoreRevision)> {
+        let promotion_claim = |id: &MemberId| {
             let latest = self
                 .latest_promotion
                 .as_ref()
@@ -147,7 +155,7 @@
         self.members
             .iter()
             .filter(|(_, member)| !member.is_gone(now))
-            .filter_map(|(id, member)| Some((id, member.claim_revision.max(promotion_token(id))?)))
+            .filter_map(|(id, member)| Some((id, member.claim_revision.max(promotion_claim(id))?)))
             .max_by_key(|(_, revision)| *revision)
             .map(|(id, revision)| (id.clone(), revision))
     }
@@ -173,8 +181,8 @@
     pub(crate) fn adopt_primary(&mut self, now: MonoTime, member: &MemberId) {
         let known = self.primary_by_evidence(now);
         if known.as_ref().is_none_or(|known| known.0 != *member) {
-            let revision = known.map_or(0, |known| known.1);
-            self.latest_promotion = Some((member.clone(), revision.saturating_add(1)));
+            let revision = known.map(|known| known.1).unwrap_or_default();
+            self.latest_promotion = Some((member.clone(), revision.next()));
             self.has_new_promotion = true;
         }
     }
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::cold::ColdBucket;
+use crate::store_revision::StoreRevision;
 use crate::usage::Usage;
 
 /// How long a member whose entry disappeared is still used if it answers. Entries that expired
@@ -94,7 +95,9 @@
     pub(crate) entry: MemberEntry,
     /// The store revision at which the entry began to claim that the member is the primary; `None`
     /// while it does not claim so.
-    pub(crate) claim_revision: Option<u64>,
+    pub(crate) claim_revision: Option<StoreRevision>,
+    /// The store revision of the entry.
+    revision: StoreRevision,
     pub(crate) draining_since: Option<MonoTime>,
     pub(crate) missing_since: Option<MonoTime>,
     pub(crate) last_answer_at: Option<MonoTime>,
@@ -127,12 +130,13 @@
 }
 
 impl Member {
-    pub(crate) fn new(entry: MemberEntry, revision: u64, now: MonoTime) -> Self {
+    pub(crate) fn new(entry: MemberEntry, revision: StoreRevision, now: MonoTime) -> Self {
         let claim_revision = entry.claims_primary.then_some(revision);
         let draining_since = entry.is_draining.then_some(now);
         Self {
             entry,
             claim_revision,
+            revision,
             draining_since,
             missing_since: None,
             last_answer_at: None,
@@ -158,24 +162,42 @@
     }
 
     /// Applies a new version of the member's entry.
-    pub(crate) fn update(&mut self, entry: MemberEntry, revision: u64, now: MonoTime) {
+    ///
+    /// The first version of an era may be older than what is known, since the store has come back
+    /// from a copy. It then ends neither the drain of the member nor its claim to be the primary, and
+    /// a claim that it adds ranks as one of the former era.
+    pub(crate) fn update(&mut self, entry: MemberEntry, revision: StoreRevision, now: MonoTime) {
         self.missing_since = None;
-        if entry.started_unix_ms != self.entry.started_unix_ms {
+        let is_former_start = self.has_started_after(&entry, revision);
+        let former = std::mem::replace(&mut self.revision, revision);
+        if is_former_start {
+            return;
+        }
+        let may_be_older = revision.era > former.era;
+        let is_same_start = entry.started_unix_ms == self.entry.started_unix_ms;
+        let keeps_former = may_be_older && is_same_start;
+        if !is_same_start {
             self.position = None;
             self.retry_at = now;
         }
         self.claim_revision = match (entry.claims_primary, self.claim_revision) {
-            (false, _) => None,
-            (true, Some(since)) if entry.started_unix_ms == self.entry.started_unix_ms => {
-                Some(since)
-            }
+            (false, since) => since.filter(|_| keeps_former),
+            (true, Some(since)) if is_same_start => Some(since),
+            (true, _) if keeps_former => Some(StoreRevision::new(former.era, revision.revision)),
             (true, _) => Some(revision),
         };
         self.draining_since = match (entry.is_draining, self.draining_since) {
-            (false, _) => None,
+            (false, since) => since.filter(|_| keeps_former),
             (true, since) => since.or(Some(now)),
         };
         self.entry = entry;
+        self.entry.is_draining = self.draining_since.is_some();
+    }
+
+    /// Returns whether an entry of a later era, which the store has from a copy, was written before the
+    /// latest start of the member.
+    pub(crate) fn has_started_after(&self, entry: &MemberEntry, revision: StoreRevision) -> bool {
+        revision.era > self.revision.era && entry.started_unix_ms < self.entry.started_unix_ms
     }
 
     /// Records an answer of the member; returns how long the member was considered down, if it was.
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -14,6 +14,7 @@
 use crate::forward::ForwardedRequest;
 use crate::store::ObjectKind;
 use crate::store::StoreUpdate;
+use crate::store_revision::StoreRevision;
 
 /// A message from the pool of one VM to that of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -83,13 +84,23 @@
         /// The latest statement of the sender; what later ones have begun goes on.
         latest: RequestId,
     },
-    /// Asks the receiver to pass on what it reads from the store, for some seconds.
+    /// Asks the receiver to pass on what it reads from the store. Only builds before message version 1
+    /// send it, which know no eras; the answer is `StoreNotRead`.
     FollowStore {
         /// The revisions up to which the sender knows the objects of each kind.
         revisions: Vec<(ObjectKind, u64)>,
     },
+    /// Asks the receiver to pass on what it reads from the store, for some seconds.
+    SubscribeStore {
+        /// The latest era of the store that the sender knows of.
+        era: u64,
+        /// The revisions up to which the sender knows the objects of each kind.
+        revisions: Vec<(ObjectKind, StoreRevision)>,
+    },
     /// Passes on what the sender has read from the store.
-    StoreRead {
+    StoreUpdates {
+        /// The latest era of the store that the sender knows of.
+        era: u64,
         /// What is new for the receiver; empty if nothing is.
         updates: Vec<StoreUpdate>,
         /// Time since the store last answered the sender, in milliseconds.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -36,6 +36,8 @@
 use crate::stop::StopProgress;
 use crate::store::ObjectKind;
 use crate::store::StoreWatcher;
+use crate::store_era::RestoredStore;
+use crate::store_revision::StoreRevision;
 use crate::successor_monitor::SuccessorMonitor;
 
 /// Interval between checks of timeouts while callers have statements or transactions in progress,
@@ -105,7 +107,8 @@
     pub(crate) awaiting_admission: BTreeMap<RequestId, CallerId>,
     pub(crate) rates: Rates,
     pub(crate) roster: Roster,
-    pub(crate) record_revisions: BTreeMap<String, u64>,
+    pub(crate) restored: RestoredStore,
+    pub(crate) record_revisions: BTreeMap<String, StoreRevision>,
     pub(crate) registration_due: Option<MonoTime>,
     pub(crate) claim_sequence: u64,
     pub(crate) store_lost_since: Option<MonoTime>,
@@ -152,6 +155,7 @@
             awaiting_admission: BTreeMap::new(),
             rates,
             roster: Roster::default(),
+            restored: RestoredStore::default(),
             record_revisions: BTreeMap::new(),
             registration_due: Some(MonoTime::ZERO),
             claim_sequence: 0,
@@ -196,6 +200,7 @@
             PoolEvent::ObjectsRead { kind, answer } => {
                 self.objects_read(now, kind, answer, actions);
             }
+            PoolEvent::StoreEraSeen { era } => self.note_store_era(now, era, actions),
             PoolEvent::StoreProbed { is_answered } => {
                 self.store_probed(now, is_answered, actions);
             }
@@ -289,6 +294,7 @@
         }
         self.check_isolation(now);
         self.monitor_successor(now, actions);
+        self.check_missing_objects(now, actions);
         self.check_time_limits(now, actions);
         self.check_links(now, actions);
         self.close_surplus_links(now, actions);
@@ -408,13 +414,7 @@
                 group,
                 member,
                 token,
-            } => {
-                if let Some(known) = self.groups.get_mut(&group) {
-                    known.record_promotion(member, token);
-                }
-                self.refresh_group(now, &group, actions);
-                self.dispatch_group(now, &group, actions);
-            }
+            } => self.promotion_announced(now, from, &group, member, token, actions),
             PoolMessage::Forward(request) => {
                 self.forwarded_request_received(now, from, incarnation, *request, actions);
             }
@@ -424,13 +424,17 @@
             PoolMessage::EndForwarded { session, latest } => {
                 self.forwarded_session_ended(now, from, incarnation, session, latest, actions);
             }
-            PoolMessage::FollowStore { revisions } => {
-                self.follower_asked(now, from, revisions, actions);
+            PoolMessage::FollowStore { .. } => {
+                self.send_peer(from, PoolMessage::StoreNotRead, actions);
+            }
+            PoolMessage::SubscribeStore { era, revisions } => {
+                self.follower_asked(now, from, era, revisions, actions);
             }
-            PoolMessage::StoreRead {
+            PoolMessage::StoreUpdates {
+                era,
                 updates,
                 answered_ms,
-            } => self.relayed_read_received(now, from, updates, answered_ms, actions),
+            } => self.relayed_read_received(now, from, era, updates, answered_ms, actions),
             PoolMessage::StoreNotRead => self.relay_refused(now, from, actions),
         }
     }
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -15,6 +15,7 @@
 use crate::store::ObjectKind;
 use crate::store::ObjectValue;
 use crate::store::StoreWatcher;
+use crate::store_revision::StoreRevision;
 
 pub(crate) const VM_RECORD_PREFIX: &str = "vm.";
 
@@ -42,7 +43,7 @@
     /// Records this VM in the store.
     pub(crate) fn register(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let name = format!("{VM_RECORD_PREFIX}{}", self.settings.vm);
-        let expected = self.record_revisions.get(&name).copied();
+        let expected = self.record_revision(&name);
         self.registration_due = Some(now + REGISTRATION_RETRY_DELAY);
         if self.record_revisions.is_empty() {
             self.delay_roster_read(now + FIRST_WRITE_TIMEOUT);
@@ -77,7 +78,7 @@
         &mut self,
         now: MonoTime,
         name: &str,
-        revision: u64,
+        revision: StoreRevision,
         actions: &mut Vec<PoolAction>,
     ) {
         let change = ObjectChange {
@@ -85,6 +86,7 @@
             revision,
             value: Some(ObjectValue::Fleet(self.own_record())),
         };
+        self.record_is_written(name);
         if self.apply_record(now, change, actions) {
             self.update_rates_roster(now, actions);
         }
@@ -97,6 +99,9 @@
         outcome: WriteOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
+        if !self.is_of_present_era(now, &outcome, actions) {
+            return;
+        }
         if let WriteOutcome::Conflict { revision, record } = &outcome {
             match record {
                 Some(_) => self.record_revisions.insert(name.to_owned(), *revision),
@@ -129,26 +134,33 @@
     }
 
     /// Returns the name of a group's record and its last known revision.
-    pub(crate) fn group_record(&self, group: &GroupId) -> (String, Option<u64>) {
+    pub(crate) fn group_record(&self, group: &GroupId) -> (String, Option<StoreRevision>) {
         let name = format!("{GROUP_RECORD_PREFIX}{group}");
-        let revision = self.record_revisions.get(&name).copied();
+        let revision = self.record_revision(&name);
         (name, revision)
     }
 
     /// Returns the name of a VM's record and its last known revision.
-    pub(crate) fn vm_record(&self, vm: &VmId) -> (String, Option<u64>) {
+    pub(crate) fn vm_record(&self, vm: &VmId) -> (String, Option<StoreRevision>) {
         let name = format!("{VM_RECORD_PREFIX}{vm}");
-        let revision = self.record_revisions.get(&name).copied();
+        let revision = self.record_revision(&name);
         (name, revision)
     }
 
+    /// Returns the last known revision of a record in the present era of the store.
+    fn record_revision(&self, name: &str) -> Option<StoreRevision> {
+        let revision = self.record_revisions.get(name).copied();
+        revision.filter(|revision| revision.era == self.store_era())
+    }
+
     pub(crate) fn update_readiness(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let fleet_loaded = self
             .store_watchers
             .get(&ObjectKind::Fleet)
-            .is_some_and(StoreWatcher::is_loaded);
+            .is_some_and(|fleet| fleet.is_loaded() && fleet.is_current());
         let own = self.roster.get(&self.settings.vm);
-        let is_registered = own.is_some_and(|vm| vm.incarnation == self.settings.incarnation);
+        let is_registered = own.is_some_and(|vm| vm.incarnation == self.settings.incarnation)
+            && !self.lacks_own_record();
         if is_registered {
             self.registration_due = None;
         } else if fleet_loaded && self.registration_due.is_none() && self.stop.is_none() {
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -4,7 +4,8 @@
 //! each data centre [`RELAYS_PER_DATA_CENTRE`] VMs read the store and pass on the changes with their
 //! revisions; the others follow one of them. All VMs compute the same relays from the roster. A
 //! follower keeps the revisions that it knows, so it can change to another relay or to the store at
-//! any time and never goes back to an older state.
+//! any time and never goes back to an older state. Requests and answers contain the era of the store
+//! (see [`crate::store_era`]), so that a VM which learns of a new one tells the others.
 //!
 //! A relay that cannot reach the store notices it by calls that any answer satisfies, and tells its
 //! followers. A relay that cannot be reached does not answer requests. In both cases the follower
@@ -28,6 +29,8 @@
 use crate::store::ObjectKind;
 use crate::store::StoreUpdate;
 use crate::store::StoreWatcher;
+use crate::store_era::STORE_ERA_VERSION;
+use crate::store_revision::StoreRevision;
 
 /// One relay may fail without its followers having to read the store.
 const RELAYS_PER_DATA_CENTRE: usize = 2;
@@ -82,7 +85,7 @@
 /// A VM that this one passes changes on to.
 #[derive(Clone, Debug)]
 struct Follower {
-    revisions: BTreeMap<ObjectKind, u64>,
+    revisions: BTreeMap<ObjectKind, StoreRevision>,
     until: MonoTime,
     /// Whether its latest request is answered once the store has answered.
     awaits_answer: bool,
@@ -146,10 +149,11 @@
         );
         let was_relay = self.relay.is_relay;
         self.relay.is_relay = relays.contains(own);
-        // Other builds pass on the records of VMs in another form.
+        // Other builds pass on what they read in another form.
         relays.retain(|vm| {
             let entry = self.roster.get(vm);
             entry.is_some_and(|entry| entry.accepts_forwarded)
+                && self.roster.understands(vm, STORE_ERA_VERSION)
         });
         // Followers are distributed over the relays.
         let preference =
@@ -269,7 +273,8 @@
         };
         let revisions = self.store_watchers.iter();
         let revisions = revisions.filter_map(|(kind, watcher)| Some((*kind, watcher.revision()?)));
-        let message = PoolMessage::FollowStore {
+        let message = PoolMessage::SubscribeStore {
+            era: self.store_era(),
             revisions: revisions.collect(),
         };
         self.relay.request = Some((relay.clone(), now));
@@ -332,19 +337,22 @@
         }
     }
 
-    /// Applies what a relay has read from the store.
+    /// Applies what a relay has read from the store. A relay that does not know yet that the store has
+    /// come back from a copy counts as one that has not answered.
     pub(crate) fn relayed_read_received(
         &mut self,
         now: MonoTime,
         from: &VmId,
+        era: u64,
         updates: Vec<StoreUpdate>,
         answered_ms: u64,
         actions: &mut Vec<PoolAction>,
     ) {
         let is_own_relay = self.relay.relays.contains(from) && !self.relay.is_relay;
-        if !is_own_relay || self.relay.source == Source::Starting {
+        if !is_own_relay || self.relay.source == Source::Starting || era < self.store_era() {
             return;
         }
+        self.note_store_era(now, era, actions);
         let age = Duration::from_millis(answered_ms);
         if age > MAX_ANSWER_AGE {
             return self.relay_refused(now, from, actions);
@@ -387,9 +395,11 @@
         &mut self,
         now: MonoTime,
         from: &VmId,
-        revisions: Vec<(ObjectKind, u64)>,
+        era: u64,
+        revisions: Vec<(ObjectKind, StoreRevision)>,
         actions: &mut Vec<PoolAction>,
     ) {
+        self.note_store_era(now, era, actions);
         if !self.is_reading_relay() {
             return self.send_peer(from, PoolMessage::StoreNotRead, actions);
         }
@@ -431,7 +441,8 @@
             follower.revisions.insert(update.kind(), update.revision);
         }
         let age = now.since(self.store_answered_at).as_millis();
-        let message = PoolMessage::StoreRead {
+        let message = PoolMessage::StoreUpdates {
+            era: self.store_era(),
             updates,
             answered_ms: u64::try_from(age).unwrap_or(u64::MAX),
         };
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -14,6 +14,7 @@
 use crate::statement::CallerError;
 use crate::statement::MemberFault;
 use crate::store::ObjectKind;
+use crate::store_revision::StoreRevision;
 
 /// An occurrence that is written to the log, counted in the metrics, or both.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,7 +44,7 @@
         /// Whether the member reports itself as the primary.
         claims_primary: bool,
         /// The store revision of the entry.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// This VM now takes another member, or none, for the primary of a group.
     PrimaryChanged {
@@ -51,8 +52,9 @@
         group: GroupId,
         /// The new primary; `None` when none is known.
         member: Option<MemberId>,
-        /// The store revision or fencing token that names the primary, or 0 when none is known.
-        evidence: u64,
+        /// The store revision of the claim or promotion that names the primary, or revision 0 when
+        /// none is known.
+        evidence: StoreRevision,
     },
     /// A member does not answer and is considered down.
     MemberSuspected {
@@ -200,6 +202,26 @@
         /// How this VM noticed it.
         cause: &'static str,
     },
+    /// The store has come back from an older copy.
+    StoreRestored {
+        /// The era that has begun.
+        era: u64,
+    },
+    /// Objects that were known are missing in the copy from which the store has come back; they are
+    /// still in use.
+    RestoredObjectMissing {
+        /// The kind of object.
+        kind: ObjectKind,
+        /// The name of the object.
+        name: String,
+    },
+    /// An object that was missing in the copy was not written again in time and is not used any longer.
+    RestoredObjectDropped {
+        /// The kind of object.
+        kind: ObjectKind,
+        /// The name of the object.
+        name: String,
+    },
     /// The store answers again.
     StoreBack {
         /// How long reads from the store failed.
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -17,6 +17,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store_revision::StoreRevision;
+
 /// Time for the other VMs to learn of a changed roster before the new shares are used. A watch
 /// reports the change within milliseconds; the rest allows for a slow store.
 const ROSTER_PROPAGATION_DELAY: Duration = Duration::from_millis(300);
@@ -77,13 +79,33 @@
     pub(crate) message_version: u32,
 }
 
+impl From<RosterVm> for FleetRecord {
+    /// Returns the record that contains an entry.
+    fn from(entry: RosterVm) -> Self {
+        let RosterVm {
+            incarnation,
+            address,
+            accepts_forwarded,
+            data_centre,
+            message_version,
+        } = entry;
+        Self::Vm {
+            incarnation,
+            address,
+            accepts_forwarded,
+            data_centre,
+            message_version,
+        }
+    }
+}
+
 /// The VMs of the fleet by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Roster {
     vms: BTreeMap<VmId, RosterVm>,
     /// The names in order.
     names: Vec<VmId>,
-    version: u64,
+    version: StoreRevision,
     /// Whether homes may differ since [`Roster::take_placement_change`] was called.
     has_placement_changed: bool,
     /// The time from which this VM may use its shares; `None` while it is not in the roster.
@@ -93,7 +115,7 @@
 impl Roster {
     /// Adds or replaces a VM; returns whether the roster has changed. The highest revision of a
     /// record is the version of the roster, so that VMs can compare their versions.
-    pub(crate) fn set(&mut self, vm: VmId, entry: RosterVm, revision: u64) -> bool {
+    pub(crate) fn set(&mut self, vm: VmId, entry: RosterVm, revision: StoreRevision) -> bool {
         self.version = self.version.max(revision);
         let known = self.vms.insert(vm.clone(), entry.clone());
         if known.is_none() {
@@ -106,7 +128,7 @@
     }
 
     /// Removes a VM; returns whether the roster has changed.
-    pub(crate) fn remove(&mut self, vm: &VmId, revision: u64) -> bool {
+    pub(crate) fn remove(&mut self, vm: &VmId, revision: StoreRevision) -> bool {
         self.version = self.version.max(revision);
         self.names.retain(|name| name != vm);
         let is_known = self.vms.remove(vm).is_some();
@@ -199,7 +221,7 @@
         });
         self.usable_from = slots.map(|held| held.usable_from);
         RosterView {
-            version: self.version,
+            version: self.version.token(),
             slot_count: u16::try_from(self.vms.len()).unwrap_or(u16::MAX),
             slots: slots.into_iter().collect(),
             peers: peers.collect(),
--- a/crates/pool/src/store.rs
+++ b/crates/pool/src/store.rs
@@ -12,6 +12,7 @@
 use crate::config::PoolConfig;
 use crate::member::MemberEntry;
 use crate::roster::FleetRecord;
+use crate::store_revision::StoreRevision;
 
 /// Delay before the first retry after a call that got no usable answer; it doubles with each retry.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -87,8 +88,9 @@
 pub struct ObjectChange {
     /// The name of the object, unique within its kind.
     pub name: String,
-    /// The store revision of the object's latest change.
-    pub revision: u64,
+    /// The store revision of the object's latest change. The removal of an object that the first list
+    /// of an era lacks has a revision of the former era, since the object may be written again.
+    pub revision: StoreRevision,
     /// The content; `None` if the object was removed.
     pub value: Option<ObjectValue>,
 }
@@ -118,7 +120,7 @@
         /// The kind of object to watch.
         kind: ObjectKind,
         /// The last revision whose changes are already known.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// Asks for any answer, to find out whether the store can be reached. The content may be old.
     Probe,
@@ -130,9 +132,9 @@
     kind: ObjectKind,
     /// The receiver must know the objects at least up to this revision; `None` if the update
     /// contains all objects.
-    since: Option<u64>,
+    since: Option<StoreRevision>,
     /// The revision up to which the objects are known after the update.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// The latest change of each object that has changed; `None` if these are too many, so that the
     /// receiver has to read them from the store.
     changes: Option<Vec<ObjectChange>>,
@@ -155,14 +157,14 @@
         /// The name after which the next page starts; `None` for the last page.
         next_after: Option<String>,
         /// The revision of the store at which the page was read.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// The changes that a watch returned; empty if it ended without a change.
     Events {
         /// The changes, oldest first.
         changes: Vec<ObjectChange>,
         /// The revision from which the next watch continues.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// The store has discarded changes that the watch needs; the objects have to be listed again.
     HistoryDiscarded,
@@ -170,14 +172,24 @@
     Unavailable,
 }
 
+impl ObjectAnswer {
+    /// Returns the era of the answer; `None` if there was no usable one.
+    pub(crate) fn era(&self) -> Option<u64> {
+        match self {
+            Self::Page { revision, .. } | Self::Events { revision, .. } => Some(revision.era),
+            Self::HistoryDiscarded | Self::Unavailable => None,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Phase {
     List {
         after: Option<String>,
-        revision: Option<u64>,
+        revision: Option<StoreRevision>,
         listed: Vec<ObjectChange>,
     },
-    Watch(u64),
+    Watch(StoreRevision),
 }
 
 /// The latest change of an object.
@@ -185,7 +197,7 @@
 struct KnownObject {
     change: ObjectChange,
     /// The revision of the answer or update that contained the change.
-    learned_at_revision: u64,
+    learned_at_revision: StoreRevision,
 }
 
 /// Tracks the objects of one kind by list and watch calls.
@@ -193,18 +205,24 @@
 pub struct StoreWatcher {
     kind: ObjectKind,
     phase: Phase,
+    /// The latest era that the store is known to be in.
+    era: u64,
+    /// The era of the latest complete list.
+    listed_era: u64,
     is_call_in_progress: bool,
+    /// The era of the answers that the call in progress continues; `None` if it is a first page.
+    continued_era: Option<u64>,
     retry_at: Option<MonoTime>,
     retry_delay: Duration,
     /// The objects by name, including some that were removed.
     known: BTreeMap<String, KnownObject>,
     /// The revision from which on each change is in `known`.
-    history_from: u64,
+    history_from: StoreRevision,
     is_loaded: bool,
     /// Whether another VM passes the changes on, so that the store is not watched.
     is_relayed: bool,
     /// The revision up to which the store is watched nevertheless.
-    required_revision: u64,
+    required_revision: StoreRevision,
     /// Whether changes that were passed on have overtaken the call in progress.
     is_call_outdated: bool,
     /// How many more changes are read at once, as of `single_changes_at`.
@@ -218,14 +236,17 @@
         Self {
             kind,
             phase: initial_phase(),
+            era: 0,
+            listed_era: 0,
             is_call_in_progress: false,
+            continued_era: None,
             retry_at: None,
             retry_delay: INITIAL_RETRY_DELAY,
             known: BTreeMap::new(),
-            history_from: 0,
+            history_from: StoreRevision::default(),
             is_loaded: false,
             is_relayed: false,
-            required_revision: 0,
+            required_revision: StoreRevision::default(),
             is_call_outdated: false,
             single_changes: MAX_SINGLE_CHANGES,
             single_changes_at: MonoTime::ZERO,
@@ -237,8 +258,27 @@
         self.is_loaded
     }
 
+    /// Notes that the store has come back from a copy. What is known stays in use until the objects
+    /// have been listed again, or another VM has passed them on.
+    pub(crate) fn enter_era(&mut self, era: u64) {
+        self.era = era;
+        if matches!(self.phase, Phase::List { .. }) {
+            self.phase = initial_phase();
+        }
+    }
+
+    /// Returns whether the objects have been listed in the latest known era.
+    pub(crate) fn is_current(&self) -> bool {
+        self.listed_era >= self.era
+    }
+
+    /// Returns whether the call in progress waits for changes of an era that has ended.
+    pub(crate) fn waits_in_former_era(&self) -> bool {
+        self.is_call_in_progress && self.continued_era.is_some_and(|era| era < self.era)
+    }
+
     /// Returns the revision up to which the objects are known; `None` while they are listed.
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<StoreRevision> {
         match self.phase {
             Phase::Watch(revision) => Some(revision),
             Phase::List { .. } => None,
@@ -272,8 +312,15 @@
         if self.is_call_in_progress || is_waiting || self.leaves_watch_to_others() {
             return None;
         }
+        if matches!(self.phase, Phase::Watch(revision) if revision.era < self.era) {
+            self.phase = initial_phase();
+        }
         self.is_call_in_progress = true;
         self.retry_at = None;
+        self.continued_era = match &self.phase {
+            Phase::List { revision, .. } => revision.map(|revision| revision.era),
+            Phase::Watch(revision) => Some(revision.era),
+        };
         let kind = self.kind;
         Some(match &self.phase {
             Phase::List { after, .. } => ObjectCall::List {
@@ -293,7 +340,7 @@
         if std::mem::take(&mut self.is_call_outdated) {
             return Vec::new();
         }
-        match answer {
+        match self.check_era(answer) {
             ObjectAnswer::Page {
                 objects,
                 next_after,
@@ -323,10 +370,29 @@
         }
     }
 
+    /// Rejects an answer of a former era, and one that does not continue the era of its call.
+    fn check_era(&mut self, answer: ObjectAnswer) -> ObjectAnswer {
+        let continued_era = self.continued_era.take();
+        let Some(era) = answer.era() else {
+            return answer;
+        };
+        if era < self.era {
+            return ObjectAnswer::Unavailable;
+        }
+        if era > self.era {
+            self.enter_era(era);
+        }
+        if continued_era.is_some_and(|continued| continued != era) {
+            return ObjectAnswer::HistoryDiscarded;
+        }
+        answer
+    }
+
     /// Returns what another VM has to be told that knows the objects up to a revision; `None` if
     /// this VM knows nothing newer.
-    pub fn update_since(&self, known_revision: u64) -> Option<StoreUpdate> {
-        let revision = self.revision().filter(|own| *own > known_revision)?;
+    pub fn update_since(&self, known_revision: StoreRevision) -> Option<StoreUpdate> {
+        let is_newer = |own: &StoreRevision| own.era == self.era && *own > known_revision;
+        let revision = self.revision().filter(is_newer)?;
         let since = (known_revision >= self.history_from).then_some(known_revision);
         let is_needed = |object: &&KnownObject| match since {
             Some(since) => object.learned_at_revision > since,
@@ -346,12 +412,18 @@
     /// Takes over what another VM has passed on and returns the resulting changes. An update that
     /// is older than what this VM knows, or that does not follow on it, changes nothing.
     pub fn apply(&mut self, update: StoreUpdate) -> Vec<ObjectChange> {
-        let is_next = self.revision().is_some_and(|revision| {
-            update.revision > revision && update.since.is_none_or(|since| since <= revision)
-        });
-        if !is_next {
+        let follows_on = |revision: StoreRevision| {
+            update
+                .since
+                .is_none_or(|since| since.era == revision.era && since <= revision)
+        };
+        let is_next = self
+            .revision()
+            .is_some_and(|revision| update.revision > revision && follows_on(revision));
+        if !is_next || update.revision.era < self.era {
             return Vec::new();
         }
+        self.era = update.revision.era;
         let Some(mut changes) = update.changes else {
             self.required_revision = update.revision;
             return Vec::new();
@@ -366,7 +438,7 @@
         changes
     }
 
-    fn remember(&mut self, changes: &[ObjectChange], revision: u64) {
+    fn remember(&mut self, changes: &[ObjectChange], revision: StoreRevision) {
         for change in changes {
             let object = KnownObject {
                 change: change.clone(),
@@ -383,19 +455,28 @@
     }
 
     /// Replaces all known objects by those of a complete list, and returns the changes, which
-    /// include the removal of the objects that are not in the list.
-    fn complete(&mut self, listed: Vec<ObjectChange>, revision: u64) -> Vec<ObjectChange> {
+    /// include the removal of the objects that are not in the list. In the first list of an era these
+    /// removals have revisions of the former era, since only the copy explains them.
+    fn complete(
+        &mut self,
+        listed: Vec<ObjectChange>,
+        revision: StoreRevision,
+    ) -> Vec<ObjectChange> {
         let known = std::mem::take(&mut self.known);
         self.remember(&listed, revision);
         self.history_from = revision;
+        self.listed_era = revision.era;
         let is_gone = |object: &KnownObject| {
             object.change.value.is_some() && !self.known.contains_key(&object.change.name)
         };
         let gone = known.into_values().filter(is_gone);
-        let gone = gone.map(|object| ObjectChange {
-            revision,
+        let gone = gone.map(|KnownObject { change, .. }| ObjectChange {
+            revision: match change.revision.era < revision.era {
+                true => change.revision,
+                false => revision,
+            },
             value: None,
-            ..object.change
+            ..change
         });
         gone.chain(listed).collect()
     }
@@ -425,7 +506,7 @@
         &mut self,
         objects: Vec<ObjectChange>,
         next_after: Option<String>,
-        page_revision: u64,
+        page_revision: StoreRevision,
     ) -> Vec<ObjectChange> {
         let Phase::List {
             after,
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -26,6 +26,7 @@
 use crate::store::ObjectChange;
 use crate::store::ObjectKind;
 use crate::store::ObjectValue;
+use crate::store_revision::StoreRevision;
 
 impl Pool {
     pub(crate) fn objects_read(
@@ -35,6 +36,7 @@
         answer: ObjectAnswer,
         actions: &mut Vec<PoolAction>,
     ) {
+        let answer = self.check_answer_era(now, answer, actions);
         if answer == ObjectAnswer::Unavailable {
             self.note_store_failure(now);
         } else {
@@ -79,6 +81,9 @@
     ) {
         let mut roster_changed = false;
         for change in changes {
+            if self.is_missing_in_copy(now, kind, &change, actions) {
+                continue;
+            }
             match kind {
                 ObjectKind::Configuration => self.apply_configuration(now, change, actions),
                 ObjectKind::Members => self.apply_member(now, change, actions),
@@ -144,7 +149,10 @@
         report_member(&entry, state, revision, actions);
         let id = entry.id.clone();
         match group.members.get_mut(&id) {
-            Some(member) if member.entry.address == entry.address => {
+            Some(member)
+                if member.entry.address == entry.address
+                    || member.has_started_after(&entry, revision) =>
+            {
                 member.update(entry.clone(), revision, now);
             }
             known => {
@@ -165,7 +173,7 @@
         &mut self,
         now: MonoTime,
         name: &str,
-        revision: u64,
+        revision: StoreRevision,
         actions: &mut Vec<PoolAction>,
     ) {
         let groups = self.groups.values_mut();
@@ -224,10 +232,11 @@
             .record_revisions
             .get(&change.name)
             .copied()
-            .unwrap_or(0);
+            .unwrap_or_default();
         if change.revision < known {
             return false;
         }
+        let may_be_older = change.revision.era > known.era;
         match &change.value {
             Some(_) => self
                 .record_revisions
@@ -254,6 +263,10 @@
                     message_version,
                 };
                 let former = self.roster.get(&vm).map(|former| former.incarnation);
+                if may_be_older && former.is_some_and(|former| former > incarnation) {
+                    self.expect_record(now, change.name);
+                    return false;
+                }
                 if let Some(former) = former.filter(|former| *former != incarnation) {
                     self.drop_transactions_of(now, &vm, former, actions);
                 }
@@ -276,7 +289,7 @@
         &mut self,
         name: &str,
         record: &FleetRecord,
-        revision: u64,
+        revision: StoreRevision,
         actions: &mut Vec<PoolAction>,
     ) {
         let FleetRecord::Promotion {
@@ -324,7 +337,7 @@
 fn report_member(
     entry: &MemberEntry,
     state: &'static str,
-    revision: u64,
+    revision: StoreRevision,
     actions: &mut Vec<PoolAction>,
 ) {
     actions.push(PoolAction::Report(Report::MemberChanged {
--- a/crates/pool/tests/failover.rs
+++ b/crates/pool/tests/failover.rs
@@ -129,7 +129,7 @@
 fn grant_claim(harness: &mut PoolHarness, token: u64) {
     harness.event(PoolEvent::RecordWritten {
         name: format!("group.{GROUP}"),
-        outcome: WriteOutcome::Written(token),
+        outcome: WriteOutcome::Written(token.into()),
     });
 }
 
@@ -410,7 +410,7 @@
     harness.event(PoolEvent::RecordWritten {
         name,
         outcome: WriteOutcome::Conflict {
-            revision: 900,
+            revision: 900.into(),
             record: written,
         },
     });
@@ -457,7 +457,7 @@
         harness.event(PoolEvent::RecordWritten {
             name: format!("group.{GROUP}"),
             outcome: WriteOutcome::Conflict {
-                revision: 900,
+                revision: 900.into(),
                 record: written,
             },
         });
--- a/crates/pool/tests/fleet/mod.rs
+++ b/crates/pool/tests/fleet/mod.rs
@@ -38,6 +38,7 @@
 use lycheedoor_pool::PoolEvent;
 use lycheedoor_pool::PoolMessage;
 use lycheedoor_pool::Statement;
+use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::TransactionState;
 
 use members::Link;
@@ -218,7 +219,7 @@
             next_callers: vec![0; vms],
             sends_at_once: false,
             stopping_since: vec![None; vms],
-            revision: LOADED_REVISION,
+            revision: LOADED_REVISION.into(),
             next_attempt: 0,
             links: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -262,12 +263,12 @@
         let (name, value) = record(u32::try_from(about).unwrap(), self.incarnations[about]);
         let change = ObjectChange {
             name,
-            revision: self.revision,
+            revision: self.revision.into(),
             value: Some(value),
         };
         let answer = ObjectAnswer::Events {
             changes: vec![change],
-            revision: self.revision,
+            revision: self.revision.into(),
         };
         let kind = ObjectKind::Fleet;
         self.schedule(PEER_DELAY, vm, PoolEvent::ObjectsRead { kind, answer });
@@ -299,13 +300,13 @@
         let objects = objects.into_iter().zip(1..);
         let objects = objects.map(|((name, value), revision)| ObjectChange {
             name,
-            revision,
+            revision: StoreRevision::from(revision),
             value: Some(value),
         });
         let answer = ObjectAnswer::Page {
             objects: objects.collect(),
             next_after: None,
-            revision: LOADED_REVISION,
+            revision: LOADED_REVISION.into(),
         };
         self.handle(vm, PoolEvent::ObjectsRead { kind, answer });
     }
--- a/crates/pool/tests/fleet/setup.rs
+++ b/crates/pool/tests/fleet/setup.rs
@@ -134,7 +134,7 @@
         incarnation,
         address: address(vm),
         accepts_forwarded: true,
-        message_version: 0,
+        message_version: 1,
         data_centre: Some(data_centre(vm)),
     };
     (format!("vm.{}", vm_id(vm)), ObjectValue::Fleet(record))
--- a/crates/pool/tests/forwarding.rs
+++ b/crates/pool/tests/forwarding.rs
@@ -442,7 +442,7 @@
         incarnation: Incarnation(7),
         address: support::peer_address(),
         accepts_forwarded: true,
-        message_version: 0,
+        message_version: 1,
         data_centre: Some(south.clone()),
     };
     let name = format!("vm.{ENTRY}");
@@ -570,7 +570,7 @@
         incarnation: Incarnation(7),
         address: support::peer_address(),
         accepts_forwarded: true,
-        message_version: 0,
+        message_version: 1,
         data_centre: Some(DataCentreId::from("north")),
     };
     let record = Some(ObjectValue::Fleet(record));
@@ -580,7 +580,8 @@
     let news = || PoolEvent::PeerSent {
         from: VmId::from(ENTRY),
         incarnation: Incarnation(7),
-        message: PoolMessage::StoreRead {
+        message: PoolMessage::StoreUpdates {
+            era: 0,
             updates: Vec::new(),
             answered_ms: 5,
         },
--- a/crates/pool/tests/roster.rs
+++ b/crates/pool/tests/roster.rs
@@ -147,16 +147,17 @@
 }
 
 /// Guards against statements that are forwarded to a build which does not understand them: as a relay
-/// it passes on the records of VMs in another form, in which its own one says that it does.
+/// it passes on the records of VMs in another form, in which its own one says that it does. Builds
+/// before message version 1 do not understand the request either, and close the connection.
 #[test]
-fn vm_of_a_build_without_forwarding_is_not_followed() {
-    for accepts_forwarded in [true, false] {
+fn vm_of_a_build_with_other_messages_is_not_followed() {
+    for (accepts_forwarded, message_version) in [(true, 1), (true, 0), (false, 1), (false, 0)] {
         let mut harness = PoolHarness::with_peers(&["vm-2"]);
         let record = FleetRecord::Vm {
             incarnation: Incarnation(7),
             address: ([127, 0, 0, 1], 7_560).into(),
             accepts_forwarded,
-            message_version: 0,
+            message_version,
             data_centre: Some("north".into()),
         };
         let record = Some(ObjectValue::Fleet(record));
@@ -166,12 +167,12 @@
             matches!(
                 action,
                 PoolAction::SendPeer {
-                    message: PoolMessage::FollowStore { .. },
+                    message: PoolMessage::SubscribeStore { .. },
                     ..
                 }
             )
         };
         let is_asked = harness.other_actions.iter().any(is_request);
-        assert_eq!(is_asked, accepts_forwarded);
+        assert_eq!(is_asked, accepts_forwarded && message_version == 1);
     }
 }
--- a/crates/pool/tests/store_fleet/mod.rs
+++ b/crates/pool/tests/store_fleet/mod.rs
@@ -33,6 +33,7 @@
 use lycheedoor_pool::PoolEvent;
 use lycheedoor_pool::PoolSettings;
 use lycheedoor_pool::Report;
+use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::WriteOutcome;
 
 const DATA_CENTRES: u32 = 5;
@@ -56,7 +57,7 @@
     calls: BTreeMap<ObjectKind, u64>,
     version: u64,
     source: Option<VmId>,
-    member_revisions: BTreeMap<MemberId, u64>,
+    member_revisions: BTreeMap<MemberId, StoreRevision>,
 }
 
 pub(crate) struct StoreFleet {
@@ -65,10 +66,10 @@
     queue: BinaryHeap<Reverse<(MonoTime, u64)>>,
     due: BTreeMap<u64, (usize, Due)>,
     next_number: u64,
-    revision: u64,
+    revision: StoreRevision,
     objects: BTreeMap<(ObjectKind, String), ObjectChange>,
     log: Vec<(ObjectKind, ObjectChange)>,
-    watches: Vec<(usize, ObjectKind, u64, u64)>,
+    watches: Vec<(usize, ObjectKind, StoreRevision, u64)>,
     lost_peers_percent: u64,
     random: u64,
     /// Reads and writes of all VMs, in hundredths.
@@ -109,7 +110,7 @@
             queue: BinaryHeap::new(),
             due: BTreeMap::new(),
             next_number: 0,
-            revision: 1,
+            revision: StoreRevision::from(1),
             objects: BTreeMap::new(),
             log: Vec::new(),
             watches: Vec::new(),
@@ -412,7 +413,7 @@
     }
 
     fn write(&mut self, kind: ObjectKind, name: &str, value: Option<ObjectValue>) {
-        self.revision += 1;
+        self.revision.revision += 1;
         let change = ObjectChange {
             name: name.to_owned(),
             revision: self.revision,
@@ -425,21 +426,21 @@
 
     fn answer_watches(&mut self) {
         let (log, vms) = (&self.log, &self.vms);
-        let has_news = |watch: &(usize, ObjectKind, u64, u64)| {
+        let has_news = |watch: &(usize, ObjectKind, StoreRevision, u64)| {
             let mut newest = log.iter().rev().filter(|(kind, _)| *kind == watch.1);
             let is_newer = newest
                 .next()
-                .is_some_and(|(_, change)| change.revision > watch.2);
+                .is_some_and(|(_, change)| change.revision.revision > watch.2.revision);
             is_newer && !vms[watch.0].is_cut_from_store
         };
         let (answered, waiting) = self.watches.drain(..).partition(has_news);
         self.watches = waiting;
-        let answered: Vec<(usize, ObjectKind, u64, u64)> = answered;
+        let answered: Vec<(usize, ObjectKind, StoreRevision, u64)> = answered;
         for (vm, kind, revision, number) in answered {
             let newer = self
                 .log
                 .iter()
-                .filter(|(of, change)| *of == kind && change.revision > revision);
+                .filter(|(of, change)| *of == kind && change.revision.revision > revision.revision);
             let answer = ObjectAnswer::Events {
                 changes: newer.map(|(_, change)| change.clone()).collect(),
                 revision: self.revision,
--- a/crates/pool/tests/store_watch.rs
+++ b/crates/pool/tests/store_watch.rs
@@ -7,6 +7,7 @@
 use lycheedoor_pool::ObjectChange;
 use lycheedoor_pool::ObjectKind;
 use lycheedoor_pool::ObjectValue;
+use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::StoreWatcher;
 
 /// A watch of a store in which a change is made at each of some times.
@@ -33,7 +34,7 @@
         let page = ObjectAnswer::Page {
             objects: Vec::new(),
             next_after: None,
-            revision: 1,
+            revision: 1.into(),
         };
         watch.watcher.answered(watch.now, page);
         watch.advance(Duration::from_secs(10));
@@ -53,12 +54,12 @@
                 self.is_waiting = false;
                 let changes = (0..std::mem::take(&mut self.unread)).map(|number| ObjectChange {
                     name: format!("m{number}"),
-                    revision: self.revision,
+                    revision: self.revision.into(),
                     value: None,
                 });
                 let answer = ObjectAnswer::Events {
                     changes: changes.collect(),
-                    revision: self.revision,
+                    revision: self.revision.into(),
                 };
                 self.watcher.answered(self.now, answer);
             }
@@ -100,7 +101,7 @@
 fn object(name: &str, revision: u64) -> ObjectChange {
     ObjectChange {
         name: name.to_owned(),
-        revision,
+        revision: StoreRevision::from(revision),
         value: Some(ObjectValue::Evacuation),
     }
 }
@@ -113,7 +114,7 @@
     let page = ObjectAnswer::Page {
         objects,
         next_after: None,
-        revision,
+        revision: revision.into(),
     };
     watcher.answered(now, page);
     watcher
@@ -122,6 +123,7 @@
 fn read_events(watcher: &mut StoreWatcher, changes: Vec<ObjectChange>, revision: u64) {
     let now = MonoTime::from_millis(2_000);
     watcher.next_call(now);
+    let revision = StoreRevision::from(revision);
     watcher.answered(now, ObjectAnswer::Events { changes, revision });
 }
 
@@ -135,12 +137,12 @@
     let mut relay = listed(Vec::new(), 10);
     let mut follower = listed(Vec::new(), 10);
     read_events(&mut relay, vec![object("dc-1", 11)], 11);
-    let lost = relay.update_since(10).unwrap();
+    let lost = relay.update_since(10.into()).unwrap();
     read_events(&mut relay, vec![object("dc-2", 12)], 12);
-    let next = relay.update_since(11).unwrap();
+    let next = relay.update_since(11.into()).unwrap();
     assert_eq!(follower.apply(next), []);
     assert_eq!(names(&follower.apply(lost)), ["dc-1"]);
-    let repeated = relay.update_since(11).unwrap();
+    let repeated = relay.update_since(11.into()).unwrap();
     assert_eq!(names(&follower.apply(repeated)), ["dc-2"]);
 }
 
@@ -149,9 +151,9 @@
 #[test]
 fn older_state_is_not_applied() {
     let mut relay = listed(vec![object("dc-1", 5)], 10);
-    let old = relay.update_since(0).unwrap();
+    let old = relay.update_since(0.into()).unwrap();
     let mut follower = listed(vec![object("dc-1", 5)], 11);
-    assert_eq!(relay.update_since(11), None);
+    assert_eq!(relay.update_since(11.into()), None);
     assert_eq!(follower.apply(old), []);
     let now = MonoTime::from_millis(2_000);
     assert!(follower.next_call(now).is_some());
@@ -160,14 +162,14 @@
         ..object("dc-1", 12)
     };
     read_events(&mut relay, vec![removed], 12);
-    let update = relay.update_since(11).unwrap();
+    let update = relay.update_since(11.into()).unwrap();
     assert_eq!(names(&follower.apply(update)), ["dc-1"]);
     let late = ObjectAnswer::Events {
         changes: vec![object("dc-1", 11)],
-        revision: 11,
+        revision: 11.into(),
     };
     assert_eq!(follower.answered(now, late), []);
-    assert_eq!(follower.revision(), Some(12));
+    assert_eq!(follower.revision(), Some(12.into()));
 }
 
 /// Guards against objects that stay in use because their removal lies before what a relay remembers.
@@ -175,7 +177,7 @@
 fn complete_update_removes_objects_that_it_lacks() {
     let mut follower = listed(vec![object("dc-1", 5), object("dc-2", 6)], 7);
     let relay = listed(vec![object("dc-2", 6)], 20);
-    let update = relay.update_since(7).unwrap();
+    let update = relay.update_since(7.into()).unwrap();
     let changes = follower.apply(update);
     let removed = changes.iter().filter(|change| change.value.is_none());
     assert_eq!(
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -52,6 +52,7 @@
 use lycheedoor_pool::RateRule;
 use lycheedoor_pool::RouteRule;
 use lycheedoor_pool::Statement;
+use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::TransactionState;
 
 /// With this name `vm-1`, the VM of most tests, is the home of all workspaces in small fleets.
@@ -82,6 +83,8 @@
     pub(crate) replies: Vec<(CallerId, CallerReply)>,
     /// All other actions of the pool, in order.
     pub(crate) other_actions: Vec<PoolAction>,
+    /// The era of the store.
+    pub(crate) era: u64,
     /// The latest revision of the store.
     pub(crate) revision: u64,
     next_caller: u64,
@@ -215,6 +218,7 @@
             links: BTreeMap::new(),
             replies: Vec::new(),
             other_actions: Vec::new(),
+            era: 0,
             revision: 10,
             next_caller: 0,
         };
@@ -241,7 +245,7 @@
                 incarnation: if is_own { own } else { INCARNATION },
                 address: peer_address(),
                 accepts_forwarded: true,
-                message_version: 0,
+                message_version: 1,
                 data_centre: None,
             };
             (format!("vm.{name}"), ObjectValue::Fleet(record))
@@ -259,18 +263,23 @@
             self.revision += 1;
             changes.push(ObjectChange {
                 name,
-                revision: self.revision,
+                revision: self.store_revision(),
                 value: Some(value),
             });
         }
         let answer = ObjectAnswer::Page {
             objects: changes,
             next_after: None,
-            revision: self.revision,
+            revision: self.store_revision(),
         };
         self.event(PoolEvent::ObjectsRead { kind, answer });
     }
 
+    /// Returns the latest revision of the store with its era.
+    pub(crate) fn store_revision(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.revision)
+    }
+
     /// Changes an object of the store; `None` removes it.
     pub(crate) fn change_object(
         &mut self,
@@ -281,12 +290,12 @@
         self.revision += 1;
         let change = ObjectChange {
             name: name.to_owned(),
-            revision: self.revision,
+            revision: self.store_revision(),
             value,
         };
         let answer = ObjectAnswer::Events {
             changes: vec![change],
-            revision: self.revision,
+            revision: self.store_revision(),
         };
         self.event(PoolEvent::ObjectsRead { kind, answer });
     }
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -81,4 +81,7 @@
     &RELAY_LOST,
     &REPLY_IGNORED,
     &ROUTE_DIFFERS,
+    &STORE_RESTORED,
+    &RESTORED_OBJECT_MISSING,
+    &RESTORED_OBJECT_DROPPED,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -276,3 +276,33 @@
     "the configuration of a statement's home leads to another group; it runs on this VM",
     &["vm", "group", "version"],
 );
+
+/// LD-W-1140: platform's store has come back from an older copy.
+pub const STORE_RESTORED: EventKind = event(
+    "LD-W-1140",
+    "store_restored",
+    Level::Warn,
+    POOL,
+    "platform's store has come back from an older copy",
+    &["era"],
+);
+
+/// LD-I-1141: object that the copy of the store lacks stays in use until it is written again.
+pub const RESTORED_OBJECT_MISSING: EventKind = event(
+    "LD-I-1141",
+    "restored_object_missing",
+    Level::Info,
+    POOL,
+    "object that the copy of the store lacks stays in use until it is written again",
+    &["kind", "object"],
+);
+
+/// LD-W-1142: object that the copy of the store lacks was not written again in time.
+pub const RESTORED_OBJECT_DROPPED: EventKind = event(
+    "LD-W-1142",
+    "restored_object_dropped",
+    Level::Warn,
+    POOL,
+    "object that the copy of the store lacks was not written again in time",
+    &["kind", "object"],
+);
