--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -35,9 +35,9 @@
 use crate::session::Session;
 use crate::stop::StopProgress;
 use crate::store::ObjectKind;
-use crate::store::StoreWatcher;
 use crate::store_era::RestoredStore;
 use crate::store_revision::StoreRevision;
+use crate::store_watcher::StoreWatcher;
 use crate::successor_monitor::SuccessorMonitor;
 
 /// Interval between checks of timeouts while callers have statements or transactions in progress,
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -14,8 +14,8 @@
 use crate::store::ObjectChange;
 use crate::store::ObjectKind;
 use crate::store::ObjectValue;
-use crate::store::StoreWatcher;
 use crate::store_revision::StoreRevision;
+use crate::store_watcher::StoreWatcher;
 
 pub(crate) const VM_RECORD_PREFIX: &str = "vm.";
 
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -28,9 +28,9 @@
 use crate::store::ObjectCall;
 use crate::store::ObjectKind;
 use crate::store::StoreUpdate;
-use crate::store::StoreWatcher;
 use crate::store_era::STORE_ERA_VERSION;
 use crate::store_revision::StoreRevision;
+use crate::store_watcher::StoreWatcher;
 
 /// One relay may fail without its followers having to read the store.
 const RELAYS_PER_DATA_CENTRE: usize = 2;
--- a/crates/pool/src/store_era.rs
+++ b/crates/pool/src/store_era.rs
@@ -22,8 +22,8 @@
 use crate::store::ObjectAnswer;
 use crate::store::ObjectChange;
 use crate::store::ObjectKind;
-use crate::store::StoreWatcher;
 use crate::store_revision::StoreRevision;
+use crate::store_watcher::StoreWatcher;
 
 /// The version of the messages between VMs that contain the era of the store.
 pub(crate) const STORE_ERA_VERSION: u32 = 1;
--- a/crates/pool/tests/fleet/mod.rs
+++ b/crates/pool/tests/fleet/mod.rs
@@ -219,7 +219,7 @@
             next_callers: vec![0; vms],
             sends_at_once: false,
             stopping_since: vec![None; vms],
-            revision: LOADED_REVISION.into(),
+            revision: LOADED_REVISION,
             next_attempt: 0,
             links: BTreeMap::new(),
             callers: BTreeMap::new(),
--- a/crates/pool/tests/store_fleet/mod.rs
+++ b/crates/pool/tests/store_fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet of pools in virtual time that read from a store and pass on what they read. VMs can be
 //! cut off from the store and from each other, paused and killed.
 
+#![allow(dead_code, reason = "each test file uses only some of the items")]
 #![allow(
     clippy::unwrap_used,
     clippy::panic,
@@ -60,6 +61,14 @@
     member_revisions: BTreeMap<MemberId, StoreRevision>,
 }
 
+/// A copy of the store.
+#[derive(Clone)]
+pub(crate) struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(ObjectKind, String), ObjectChange>,
+    log: Vec<(ObjectKind, ObjectChange)>,
+}
+
 pub(crate) struct StoreFleet {
     vms: Vec<Vm>,
     now: MonoTime,
@@ -147,6 +156,57 @@
         self.calls_percent / 100
     }
 
+    pub(crate) fn copy_store(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision.revision,
+            objects: self.objects.clone(),
+            log: self.log.clone(),
+        }
+    }
+
+    /// Returns a copy of the store from before the VMs were recorded in it.
+    pub(crate) fn copy_store_without_records(&self) -> StoreCopy {
+        let mut copy = self.copy_store();
+        copy.objects
+            .retain(|(kind, _), _| *kind != ObjectKind::Fleet);
+        copy.log.retain(|(kind, _)| *kind != ObjectKind::Fleet);
+        copy
+    }
+
+    /// Replaces the store by a copy, which begins the next era and cuts off all watches.
+    pub(crate) fn restore_store(&mut self, copy: &StoreCopy) {
+        let era = self.revision.era + 1;
+        let in_era = |change: &ObjectChange| ObjectChange {
+            revision: StoreRevision::new(era, change.revision.revision),
+            ..change.clone()
+        };
+        self.revision = StoreRevision::new(era, copy.revision);
+        let objects = copy.objects.iter();
+        self.objects = objects
+            .map(|(key, change)| (key.clone(), in_era(change)))
+            .collect();
+        let log = copy.log.iter();
+        self.log = log.map(|(kind, change)| (*kind, in_era(change))).collect();
+        for (vm, kind, _, number) in std::mem::take(&mut self.watches) {
+            let answer = ObjectAnswer::Unavailable;
+            self.schedule(STORE_DELAY, vm, Due::Answer(kind, number, answer));
+        }
+    }
+
+    /// Returns the VMs without a record in the store.
+    pub(crate) fn without_record(&self) -> Vec<usize> {
+        let has_record = |vm: &usize| {
+            let name = format!("vm.{}", vm_id(*vm));
+            self.objects.contains_key(&(ObjectKind::Fleet, name))
+        };
+        (0..self.vms.len()).filter(|vm| !has_record(vm)).collect()
+    }
+
+    /// Returns the version of the configuration that a VM uses.
+    pub(crate) fn version(&self, vm: usize) -> u64 {
+        self.vms[vm].version
+    }
+
     pub(crate) fn lose_peer_messages(&mut self, percent: u64) {
         self.lost_peers_percent = percent;
     }
@@ -383,6 +443,11 @@
                 self.calls_percent += PROBE_PRICE_PERCENT;
                 let is_answered = !is_cut;
                 let delay = if is_cut { PROBE_TIMEOUT } else { STORE_DELAY };
+                if is_answered {
+                    let era = self.revision.era;
+                    let event = PoolEvent::StoreEraSeen { era };
+                    self.schedule(delay, vm, Due::Event(event));
+                }
                 let event = PoolEvent::StoreProbed { is_answered };
                 self.schedule(delay, vm, Due::Event(event));
             }
@@ -405,6 +470,10 @@
             ObjectCall::Watch { kind, revision } => {
                 self.calls_percent += 100;
                 self.vms[vm].calls.insert(kind, number);
+                if revision.revision > self.revision.revision && !is_cut {
+                    let answer = Due::Answer(kind, number, ObjectAnswer::HistoryDiscarded);
+                    return self.schedule(STORE_DELAY, vm, answer);
+                }
                 self.watches.push((vm, kind, revision, number));
                 self.schedule(WATCH_WAIT, vm, Due::WatchEnd(kind, number));
                 self.answer_watches();
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -8,6 +8,7 @@
     reason = "clippy.toml allows it only inside test functions"
 )]
 
+pub(crate) mod dead_primary;
 pub(crate) mod pair;
 
 use std::collections::BTreeMap;
@@ -256,8 +257,8 @@
         self.other_actions.clear();
     }
 
-    /// Answers the first list call for a kind of object with all objects in one page.
-    fn load_objects(&mut self, kind: ObjectKind, objects: Vec<(String, ObjectValue)>) {
+    /// Answers the list call for a kind of object with all objects in one page.
+    pub(crate) fn load_objects(&mut self, kind: ObjectKind, objects: Vec<(String, ObjectValue)>) {
         let mut changes = Vec::new();
         for (name, value) in objects {
             self.revision += 1;
@@ -280,6 +281,17 @@
         StoreRevision::new(self.era, self.revision)
     }
 
+    /// Lets the store come back from a copy: its revision goes back, and watches get no history.
+    pub(crate) fn restore_store(&mut self, revision: u64) {
+        self.era += 1;
+        self.revision = revision;
+        self.event(PoolEvent::StoreEraSeen { era: self.era });
+        for kind in ObjectKind::ALL {
+            let answer = ObjectAnswer::HistoryDiscarded;
+            self.event(PoolEvent::ObjectsRead { kind, answer });
+        }
+    }
+
     /// Changes an object of the store; `None` removes it.
     pub(crate) fn change_object(
         &mut self,
