--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -17,6 +17,7 @@
 use lycheedoor_telemetry::metrics::REFUSALS;
 use lycheedoor_telemetry::metrics::STATEMENT_SECONDS;
 use lycheedoor_telemetry::metrics::STATEMENTS;
+use lycheedoor_telemetry::metrics::STORE_RESTORES;
 use lycheedoor_telemetry::metrics::WAIT_SECONDS;
 use metrics::counter;
 use metrics::gauge;
@@ -179,7 +180,10 @@
             let values = [vm.as_str().into(), (*cause).into()];
             emit_limited_by_kind(&events::RELAY_LOST, &values);
         }
-        Report::StoreRestored { era } => emit(&events::STORE_RESTORED, &[(*era).into()]),
+        Report::StoreRestored { era } => {
+            counter!(STORE_RESTORES.name).increment(1);
+            emit(&events::STORE_RESTORED, &[(*era).into()]);
+        }
         Report::RestoredObjectMissing { kind, name } => {
             let values = [kind.as_str().into(), name.as_str().into()];
             emit_limited_by_kind(&events::RESTORED_OBJECT_MISSING, &values);
--- a/crates/pool/tests/store_restore.rs
+++ b/crates/pool/tests/store_restore.rs
@@ -120,3 +120,22 @@
     fleet.run(CONFIGURATION_BOUND);
     assert_eq!(fleet.without_record(), [0; 0]);
 }
+
+/// Guards against a restore after which each VM reads everything from the store by itself, beyond the
+/// calls that the store accepts.
+#[test]
+fn restore_costs_fewer_calls_than_one_list_of_each_kind_by_each_vm() {
+    for vms in [95, 300] {
+        let mut fleet = StoreFleet::start(vms, 12);
+        fleet.run(Duration::from_secs(5));
+        let copy = fleet.copy_store();
+        fleet.set_version(2);
+        fleet.run(Duration::from_secs(3));
+        let before = fleet.calls();
+        fleet.restore_store(&copy);
+        fleet.run(Duration::from_secs(3));
+        let calls = fleet.calls() - before;
+        println!("{calls} calls with {vms} VMs");
+        assert!(calls < vms as u64 * 4, "{calls} calls with {vms} VMs");
+    }
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -247,6 +247,15 @@
     description: "time line events that later ones have overwritten",
 };
 
+/// The number of restores of the store that a VM has noticed.
+pub const STORE_RESTORES: MetricKind = MetricKind {
+    name: "lycheedoor_store_restores_total",
+    metric_type: MetricType::Counter,
+    unit: metrics::Unit::Count,
+    labels: &[],
+    description: "restores of the platform's store from an older copy that the VM has noticed",
+};
+
 /// All metrics, in the order of docs/metrics.md.
 pub const ALL: &[&MetricKind] = &[
     &STATEMENTS,
@@ -272,4 +281,5 @@
     &PEER_MESSAGES,
     &PEER_BYTES,
     &TIMELINE_LOST,
+    &STORE_RESTORES,
 ];
