--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -14,7 +14,8 @@
 use crate::store::ObjectChange;
 use crate::store::ObjectKind;
 use crate::store::ObjectValue;
-use crate::store::StoreWatcher;
+use crate::store_revision::StoreRevision;
+use crate::store_watcher::StoreWatcher;
 use crate::usage_duty::USAGE_RECORD;
 
 pub(crate) const VM_RECORD_PREFIX: &str = "vm.";
@@ -43,7 +44,7 @@
     /// Records this VM in the store.
     pub(crate) fn register(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let name = format!("{VM_RECORD_PREFIX}{}", self.settings.vm);
-        let expected = self.record_revisions.get(&name).copied();
+        let expected = self.record_revision(&name);
         self.registration_due = Some(now + REGISTRATION_RETRY_DELAY);
         if self.record_revisions.is_empty() {
             self.delay_roster_read(now + FIRST_WRITE_TIMEOUT);
@@ -78,7 +79,7 @@
         &mut self,
         now: MonoTime,
         name: &str,
-        revision: u64,
+        revision: StoreRevision,
         actions: &mut Vec<PoolAction>,
     ) {
         let change = ObjectChange {
@@ -86,6 +87,7 @@
             revision,
             value: Some(ObjectValue::Fleet(self.own_record())),
         };
+        self.record_is_written(name);
         if self.apply_record(now, change, actions) {
             self.update_rates_roster(now, actions);
         }
@@ -98,9 +100,15 @@
         outcome: WriteOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
+        let is_usable = self.is_of_present_era(now, &outcome, actions);
         if name == USAGE_RECORD {
+            let outcome = Some(outcome).filter(|_| is_usable);
+            let outcome = outcome.unwrap_or(WriteOutcome::Unknown);
             return self.usage_record_written(now, outcome, actions);
         }
+        if !is_usable {
+            return;
+        }
         if let WriteOutcome::Conflict { revision, record } = &outcome {
             match record {
                 Some(_) => self.record_revisions.insert(name.to_owned(), *revision),
@@ -133,26 +141,33 @@
     }
 
     /// Returns the name of a group's record and its last known revision.
-    pub(crate) fn group_record(&self, group: &GroupId) -> (String, Option<u64>) {
+    pub(crate) fn group_record(&self, group: &GroupId) -> (String, Option<StoreRevision>) {
         let name = format!("{GROUP_RECORD_PREFIX}{group}");
-        let revision = self.record_revisions.get(&name).copied();
+        let revision = self.record_revision(&name);
         (name, revision)
     }
 
     /// Returns the name of a VM's record and its last known revision.
-    pub(crate) fn vm_record(&self, vm: &VmId) -> (String, Option<u64>) {
+    pub(crate) fn vm_record(&self, vm: &VmId) -> (String, Option<StoreRevision>) {
         let name = format!("{VM_RECORD_PREFIX}{vm}");
-        let revision = self.record_revisions.get(&name).copied();
+        let revision = self.record_revision(&name);
         (name, revision)
     }
 
+    /// Returns the last known revision of a record in the present era of the store.
+    fn record_revision(&self, name: &str) -> Option<StoreRevision> {
+        let revision = self.record_revisions.get(name).copied();
+        revision.filter(|revision| revision.era == self.store_era())
+    }
+
     pub(crate) fn update_readiness(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         let fleet_loaded = self
             .store_watchers
             .get(&ObjectKind::Fleet)
-            .is_some_and(StoreWatcher::is_loaded);
+            .is_some_and(|fleet| fleet.is_loaded() && fleet.is_current());
         let own = self.roster.get(&self.settings.vm);
-        let is_registered = own.is_some_and(|vm| vm.incarnation == self.settings.incarnation);
+        let is_registered = own.is_some_and(|vm| vm.incarnation == self.settings.incarnation)
+            && !self.lacks_own_record();
         if is_registered {
             self.registration_due = None;
         } else if fleet_loaded && self.registration_due.is_none() && self.stop.is_none() {
--- a/crates/pool/src/usage_duty.rs
+++ b/crates/pool/src/usage_duty.rs
@@ -118,6 +118,15 @@
         self.execute_usage(out, actions);
     }
 
+    /// Gives up the duty when the store has come back from an older copy.
+    pub(crate) fn end_usage_of_era(&mut self, actions: &mut Vec<PoolAction>) {
+        let mut out = Vec::new();
+        if let Some(usage) = &mut self.usage {
+            usage.store_restored(&mut out);
+        }
+        self.execute_usage(out, actions);
+    }
+
     pub(crate) fn usage_answered(
         &mut self,
         now: MonoTime,
--- a/crates/pool/src/usage_report/claim.rs
+++ b/crates/pool/src/usage_report/claim.rs
@@ -4,6 +4,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 
+use crate::store_revision::StoreRevision;
 use crate::usage_report::DELAY_PER_RANK;
 use crate::usage_report::KnownHolder;
 use crate::usage_report::UsageReporter;
@@ -26,7 +27,7 @@
 pub(crate) struct PendingWrite {
     purpose: Purpose,
     record: UsageRecord,
-    expected: Option<u64>,
+    expected: Option<StoreRevision>,
     begun_at: MonoTime,
     /// The token of the holder that was silent when the write began.
     silent_token: u64,
@@ -97,7 +98,7 @@
         now: MonoTime,
         purpose: Purpose,
         record: UsageRecord,
-        expected: Option<u64>,
+        expected: Option<StoreRevision>,
         out: &mut Vec<UsageAction>,
     ) {
         let silent_token = self.known.as_ref().map_or(0, |known| known.token);
@@ -130,7 +131,12 @@
     }
 
     /// Handles the outcome of a write that took effect, with the revision of the record.
-    pub fn record_written(&mut self, now: MonoTime, revision: u64, out: &mut Vec<UsageAction>) {
+    pub fn record_written(
+        &mut self,
+        now: MonoTime,
+        revision: StoreRevision,
+        out: &mut Vec<UsageAction>,
+    ) {
         let Some(write) = self.write.take() else {
             return;
         };
@@ -148,11 +154,18 @@
         }
     }
 
+    /// Ends the duty and the write in progress, since the store has come back from an older copy. The
+    /// revisions that they rest on are given out again.
+    pub(crate) fn store_restored(&mut self, out: &mut Vec<UsageAction>) {
+        self.write = None;
+        self.end_duty("the store has come back from an older copy", out);
+    }
+
     /// Handles a write that had no effect because the record has another revision.
     pub fn record_differs(
         &mut self,
         now: MonoTime,
-        revision: u64,
+        revision: StoreRevision,
         record: Option<UsageRecord>,
         out: &mut Vec<UsageAction>,
     ) {
--- a/crates/pool/src/usage_report/holder.rs
+++ b/crates/pool/src/usage_report/holder.rs
@@ -8,6 +8,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 
+use crate::store_revision::StoreRevision;
 use crate::usage_report::Collected;
 use crate::usage_report::IDLE_INTERVAL;
 use crate::usage_report::KnownHolder;
@@ -43,7 +44,7 @@
 pub(crate) struct Duty {
     /// The record as of the last write that succeeded.
     record: UsageRecord,
-    revision: u64,
+    revision: StoreRevision,
     /// When the record was last known to name this VM; `None` if that is in doubt.
     confirmed_at: Option<MonoTime>,
     claimed_in_window: u64,
@@ -70,7 +71,7 @@
     }
 
     /// Takes over the record that this VM has written.
-    pub(crate) fn confirm(&mut self, now: MonoTime, record: UsageRecord, revision: u64) {
+    pub(crate) fn confirm(&mut self, now: MonoTime, record: UsageRecord, revision: StoreRevision) {
         self.collected = self.collected.split_off(&record.next_window);
         // The settled windows that the record no longer names need not be remembered.
         let is_named = |number: &u64| record.unsent.iter().any(|window| window.number == *number);
@@ -131,7 +132,7 @@
         &mut self,
         now: MonoTime,
         record: UsageRecord,
-        revision: u64,
+        revision: StoreRevision,
         out: &mut Vec<UsageAction>,
     ) {
         let claimed_in_window = self.window_at(now).unwrap_or(u64::MAX);
--- a/crates/pool/src/usage_report/message.rs
+++ b/crates/pool/src/usage_report/message.rs
@@ -9,6 +9,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store_revision::StoreRevision;
+
 /// The operations that began in one window, by workspace.
 pub type UsageCounts = BTreeMap<WorkspaceId, u64>;
 
@@ -114,7 +116,7 @@
         /// The content to write.
         record: UsageRecord,
         /// The revision that the record must have; `None` if it must not exist yet.
-        expected: Option<u64>,
+        expected: Option<StoreRevision>,
     },
     /// Report a window to the platform.
     Report {
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -8,6 +8,7 @@
     reason = "clippy.toml allows it only inside test functions"
 )]
 
+pub(crate) mod dead_primary;
 pub(crate) mod pair;
 
 use std::collections::BTreeMap;
@@ -52,6 +53,7 @@
 use lycheedoor_pool::RateRule;
 use lycheedoor_pool::RouteRule;
 use lycheedoor_pool::Statement;
+use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::TransactionState;
 use lycheedoor_pool::usage_report::UsageRules;
 
@@ -83,6 +85,8 @@
     pub(crate) replies: Vec<(CallerId, CallerReply)>,
     /// All other actions of the pool, in order.
     pub(crate) other_actions: Vec<PoolAction>,
+    /// The era of the store.
+    pub(crate) era: u64,
     /// The latest revision of the store.
     pub(crate) revision: u64,
     next_caller: u64,
@@ -233,6 +237,7 @@
             links: BTreeMap::new(),
             replies: Vec::new(),
             other_actions: Vec::new(),
+            era: 0,
             revision: 10,
             next_caller: 0,
         };
@@ -259,7 +264,7 @@
                 incarnation: if is_own { own } else { INCARNATION },
                 address: peer_address(),
                 accepts_forwarded: true,
-                message_version: 0,
+                message_version: 1,
                 data_centre: None,
             };
             (format!("vm.{name}"), ObjectValue::Fleet(record))
@@ -270,25 +275,41 @@
         self.other_actions.clear();
     }
 
-    /// Answers the first list call for a kind of object with all objects in one page.
-    fn load_objects(&mut self, kind: ObjectKind, objects: Vec<(String, ObjectValue)>) {
+    /// Answers the list call for a kind of object with all objects in one page.
+    pub(crate) fn load_objects(&mut self, kind: ObjectKind, objects: Vec<(String, ObjectValue)>) {
         let mut changes = Vec::new();
         for (name, value) in objects {
             self.revision += 1;
             changes.push(ObjectChange {
                 name,
-                revision: self.revision,
+                revision: self.store_revision(),
                 value: Some(value),
             });
         }
         let answer = ObjectAnswer::Page {
             objects: changes,
             next_after: None,
-            revision: self.revision,
+            revision: self.store_revision(),
         };
         self.event(PoolEvent::ObjectsRead { kind, answer });
     }
 
+    /// Returns the latest revision of the store with its era.
+    pub(crate) fn store_revision(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.revision)
+    }
+
+    /// Lets the store come back from a copy: its revision goes back, and watches get no history.
+    pub(crate) fn restore_store(&mut self, revision: u64) {
+        self.era += 1;
+        self.revision = revision;
+        self.event(PoolEvent::StoreEraSeen { era: self.era });
+        for kind in ObjectKind::ALL {
+            let answer = ObjectAnswer::HistoryDiscarded;
+            self.event(PoolEvent::ObjectsRead { kind, answer });
+        }
+    }
+
     /// Changes an object of the store; `None` removes it.
     pub(crate) fn change_object(
         &mut self,
@@ -299,12 +320,12 @@
         self.revision += 1;
         let change = ObjectChange {
             name: name.to_owned(),
-            revision: self.revision,
+            revision: self.store_revision(),
             value,
         };
         let answer = ObjectAnswer::Events {
             changes: vec![change],
-            revision: self.revision,
+            revision: self.store_revision(),
         };
         self.event(PoolEvent::ObjectsRead { kind, answer });
     }
--- a/crates/pool/tests/usage_counts.rs
+++ b/crates/pool/tests/usage_counts.rs
@@ -48,7 +48,7 @@
         let sum = self.other_actions.iter().find_map(is_write)?;
         self.other_actions.clear();
         let name = "usage".to_owned();
-        let outcome = WriteOutcome::Written(7);
+        let outcome = WriteOutcome::Written(7.into());
         self.event(PoolEvent::RecordWritten { name, outcome });
         Some(sum)
     }
--- a/crates/pool/tests/usage_fleet/mod.rs
+++ b/crates/pool/tests/usage_fleet/mod.rs
@@ -287,9 +287,11 @@
                 reporter.peer_sent(now, &names[from], incarnation, message, &mut out);
             }
             Event::Written(None) => reporter.write_unanswered(now, &mut out),
-            Event::Written(Some(Ok(revision))) => reporter.record_written(now, revision, &mut out),
+            Event::Written(Some(Ok(revision))) => {
+                reporter.record_written(now, revision.into(), &mut out)
+            }
             Event::Written(Some(Err((revision, record)))) => {
-                reporter.record_differs(now, revision, record, &mut out);
+                reporter.record_differs(now, revision.into(), record, &mut out);
             }
             Event::Answered(token, window, outcome) => {
                 reporter.report_answered(now, token, window, outcome, &mut out);
@@ -311,7 +313,9 @@
                         self.push(DELAY_MS, to, Event::Message(vm, incarnation, message));
                     }
                 }
-                UsageAction::Write { record, expected } => self.write(vm, record, expected),
+                UsageAction::Write { record, expected } => {
+                    self.write(vm, record, expected.map(|expected| expected.revision))
+                }
                 UsageAction::Report { token, window } => {
                     self.sent += 1;
                     if !self.is_platform_up || self.vms[vm].is_cut_from_platform {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -301,6 +301,15 @@
     description: "operations that this VM counted and that are in no report",
 };
 
+/// The number of restores of the store that a VM has noticed.
+pub const STORE_RESTORES: MetricKind = MetricKind {
+    name: "lycheedoor_store_restores_total",
+    metric_type: MetricType::Counter,
+    unit: metrics::Unit::Count,
+    labels: &[],
+    description: "restores of the platform's store from an older copy that the VM has noticed",
+};
+
 /// All metrics, in the order of docs/metrics.md.
 pub const ALL: &[&MetricKind] = &[
     &STATEMENTS,
@@ -332,4 +341,5 @@
     &USAGE_WINDOWS,
     &USAGE_OLDEST_DUE_SECONDS,
     &USAGE_LOST,
+    &STORE_RESTORES,
 ];
