--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -19,6 +19,7 @@
 use lycheedoor_telemetry::metrics::MOVED_READS;
 use lycheedoor_telemetry::metrics::READS;
 use lycheedoor_telemetry::metrics::REFUSALS;
+use lycheedoor_telemetry::metrics::ROOM_WANTS;
 use lycheedoor_telemetry::metrics::STATEMENT_SECONDS;
 use lycheedoor_telemetry::metrics::STATEMENTS;
 use lycheedoor_telemetry::metrics::STORE_RESTORES;
@@ -174,6 +175,23 @@
             ];
             emit_limited_by_kind(&events::FAILOVER_STEP, &values);
         }
+        Report::RoomWanted {
+            group,
+            member,
+            priority,
+        } => {
+            let labels = [
+                ("group", group.to_string()),
+                ("priority", priority.to_string()),
+            ];
+            counter!(ROOM_WANTS.name, &labels).increment(1);
+            let values = [
+                group.as_str().into(),
+                member.as_str().into(),
+                u32::from(*priority).into(),
+            ];
+            emit_limited_by_kind(&events::ROOM_WANTED, &values);
+        }
         Report::StatementDone { .. } => count_statement(report),
         Report::StatementFailed { .. } => write_statement_failure(report),
         Report::StatementLate {
--- a/crates/pool/src/lost_links.rs
+++ b/crates/pool/src/lost_links.rs
@@ -78,6 +78,9 @@
                         member.pace.overloaded(now, budget);
                     }
                 }
+                if is_overloaded {
+                    self.note_full_member(now, &group, &member, actions);
+                }
             }
             _ => self.note_member_failure(now, &group, &member, "connection refused", actions),
         }
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -121,6 +121,16 @@
         /// Whether too many of them were errors, missing or late.
         is_bad: bool,
     },
+    /// Statements of a priority lack room at a member: the receiver holds lower ones back there for
+    /// a moment. Understood from message version 1 on.
+    RoomWanted {
+        /// The group of the member.
+        group: GroupId,
+        /// The member that is short of room.
+        member: MemberId,
+        /// The priority that lacks room; 0 is the highest.
+        priority: u8,
+    },
 }
 
 impl PoolMessage {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -462,6 +462,11 @@
                 member,
                 is_bad,
             } => self.verdict_received(now, from, &group, &member, is_bad, actions),
+            PoolMessage::RoomWanted {
+                group,
+                member,
+                priority,
+            } => self.room_wanted(now, &group, member, priority),
         }
     }
 
--- a/crates/pool/tests/slots_fleet/mod.rs
+++ b/crates/pool/tests/slots_fleet/mod.rs
@@ -145,13 +145,13 @@
             .zip(1..)
             .map(|((name, value), revision)| ObjectChange {
                 name,
-                revision,
+                revision: revision.into(),
                 value: Some(value),
             });
         let answer = ObjectAnswer::Page {
             objects: objects.collect(),
             next_after: None,
-            revision: self.revision,
+            revision: self.revision.into(),
         };
         self.handle(vm, PoolEvent::ObjectsRead { kind, answer });
     }
@@ -248,12 +248,12 @@
         for vm in 0..self.pools.len() {
             let change = ObjectChange {
                 name: object.clone(),
-                revision: self.revision,
+                revision: self.revision.into(),
                 value: Some(value.clone()),
             };
             let answer = ObjectAnswer::Events {
                 changes: vec![change],
-                revision: self.revision,
+                revision: self.revision.into(),
             };
             let kind = ObjectKind::Members;
             self.handle(vm, PoolEvent::ObjectsRead { kind, answer });
--- a/crates/pool/tests/slots_fleet/setup.rs
+++ b/crates/pool/tests/slots_fleet/setup.rs
@@ -45,6 +45,7 @@
         stop_grace: Duration::from_secs(6),
         key_ttl: None,
         rate_slack: 1_000,
+        usage: None,
     }
 }
 
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -93,4 +93,5 @@
     &STORE_RESTORED,
     &RESTORED_OBJECT_MISSING,
     &RESTORED_OBJECT_DROPPED,
+    &ROOM_WANTED,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -396,3 +396,13 @@
     "object that the copy of the store lacks was not written again in time",
     &["kind", "object"],
 );
+
+/// LD-I-1170: statements of a priority lack room at a member, and lower ones are held back there.
+pub const ROOM_WANTED: EventKind = event(
+    "LD-I-1170",
+    "room_wanted",
+    Level::Info,
+    POOL,
+    "statements of a priority lack room at a member; lower ones are held back",
+    &["group", "member", "priority"],
+);
