Limit what callers of a VM on the users' platform may hold

The process buffered whatever callers sent: input of all connections together had no bound, 64 requests of up to 1 MiB waited for each, unsent output could reach 2 MiB for each, a session kept any number of values and prepared statements, and nothing bounded the number of connections or the time of a begun message.

Reading from a caller now pauses while it has statements in progress or unread output. A ledger without I/O (lycheedoor_net::ClientLedger) accounts what is held for each connection and names the one to close: the largest above a quarter of the process's memory, one without a session or the one idle for longest when sockets run short, one that takes 30 s for a message, its output or the start of its session. A session's values are limited to 4 MiB. Connections to the pages and from other VMs that send no message make room for others. Buffers of large messages, and output that is partly written, no longer keep the memory of what has gone. Limits follow from limits.memoryMb and limits.maxFds of the settings.

Tests run: lycheedoor-pool, -adapter, -net, -telemetry.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -123,7 +123,13 @@
                     self.pending_output.advance(count);
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(written),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    if written > self.pending_output.len() {
+                        // The rest would keep the memory of what was written.
+                        self.pending_output = BytesMut::from(self.pending_output.as_ref());
+                    }
+                    return Ok(written);
+                }
                 Err(error) => return Err(error),
             }
         }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -25,19 +25,20 @@
 /// Time for a caller to read the last reply and close its side of the connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest amount of unsent output for a caller that does not read; above it the connection is
-/// closed.
-const MAX_PENDING_OUTPUT_BYTES: usize = 2 * 1024 * 1024;
-
 /// The connection of one caller.
 pub(crate) struct CallerConnection {
-    socket: Socket,
-    codec: Box<dyn CallerCodec>,
-    is_closing: bool,
+    pub(crate) socket: Socket,
+    pub(crate) codec: Box<dyn CallerCodec>,
+    pub(crate) is_closing: bool,
+    /// Whether reading waits until the caller has fewer statements in progress or less output.
+    pub(crate) is_paused: bool,
 }
 
 impl Driver {
     pub(crate) fn caller_accepted(&mut self, cx: CX![], stream: TcpStream) {
+        if !self.make_room_for_caller(cx) {
+            return;
+        }
         let number = self.new_socket_number();
         let ready = fwd_to!([cx], caller_ready(number) as (Ready));
         let mut socket = match Socket::register(cx, stream, ready) {
@@ -54,8 +55,11 @@
             socket,
             codec: self.codecs.protocol.caller_codec(),
             is_closing: false,
+            is_paused: false,
         };
         self.callers.insert(number, connection);
+        let now = self.now(cx.now());
+        self.ledger.add(number, now);
         let caller = CallerId(number);
         self.handle_event(cx, PoolEvent::CallerConnected { caller });
     }
@@ -64,16 +68,27 @@
         if ready.is_writable() {
             self.flush_caller(cx, number);
         }
+        let is_paused = self
+            .callers
+            .get(&number)
+            .is_some_and(|caller| caller.is_paused);
+        if is_paused && ready.is_read_closed() {
+            // Nothing that the caller sent ahead can be answered any more.
+            return self.disconnect_caller(cx, number);
+        }
         if ready.is_readable() || ready.is_read_closed() {
             self.read_caller(cx, number, ready.is_read_closed());
         }
     }
 
-    fn read_caller(&mut self, cx: CX![], number: u64, is_read_closed: bool) {
+    pub(crate) fn read_caller(&mut self, cx: CX![], number: u64, is_read_closed: bool) {
         for _ in 0..MAX_READS_PER_TURN {
             let Some(connection) = self.callers.get_mut(&number) else {
                 return;
             };
+            if connection.is_paused {
+                return;
+            }
             let (socket, codec) = (&mut connection.socket, &mut connection.codec);
             let is_closing = connection.is_closing;
             let outcome = socket.read(|bytes| {
@@ -82,7 +97,10 @@
                 }
             });
             match outcome {
-                Ok(ReadOutcome::Data | ReadOutcome::LastData) => self.process_requests(cx, number),
+                Ok(ReadOutcome::Data | ReadOutcome::LastData) => {
+                    self.process_requests(cx, number);
+                    self.account_caller(cx, number);
+                }
                 Ok(ReadOutcome::WouldBlock) => return,
                 Ok(ReadOutcome::Closed) | Err(_) => return self.disconnect_caller(cx, number),
             }
@@ -93,16 +111,26 @@
         call!([cx], read_caller(number, is_read_closed));
     }
 
-    fn process_requests(&mut self, cx: CX![], number: u64) {
+    pub(crate) fn process_requests(&mut self, cx: CX![], number: u64) {
         let caller = CallerId(number);
-        while let Some(connection) = self.callers.get_mut(&number) {
+        loop {
+            let must_pause = self.must_pause(number);
+            let Some(connection) = self.callers.get_mut(&number) else {
+                return;
+            };
             if connection.is_closing {
                 return;
             }
+            let has_input = connection.codec.buffered_bytes() > 0;
+            connection.is_paused = has_input && must_pause;
+            if connection.is_paused || !has_input {
+                return;
+            }
             match connection.codec.next_request() {
                 Ok(None) => return,
                 Ok(Some(request)) => {
-                    self.handle_event(cx, PoolEvent::CallerSent { caller, request })
+                    self.ledger.message_completed(number);
+                    self.handle_event(cx, PoolEvent::CallerSent { caller, request });
                 }
                 Err(error) => {
                     let cause = error.to_string();
@@ -119,8 +147,8 @@
         }
     }
 
-    fn disconnect_caller(&mut self, cx: CX![], number: u64) {
-        if self.callers.remove(&number).is_some() {
+    pub(crate) fn disconnect_caller(&mut self, cx: CX![], number: u64) {
+        if self.remove_caller(number) {
             let caller = CallerId(number);
             self.handle_event(cx, PoolEvent::CallerClosed { caller });
         }
@@ -142,12 +170,20 @@
         };
         let flushed = connection.socket.flush();
         let pending_bytes = connection.socket.pending_output.len();
-        if flushed.is_err() || pending_bytes > MAX_PENDING_OUTPUT_BYTES {
+        if flushed.is_err() {
             return self.disconnect_caller(cx, number);
         }
         if connection.is_closing && pending_bytes == 0 {
             connection.socket.shut_down_writes();
         }
+        self.account_caller(cx, number);
+        if self
+            .callers
+            .get(&number)
+            .is_some_and(|caller| caller.is_paused)
+        {
+            call!([cx], resume_caller(number));
+        }
     }
 
     /// Closes a connection after its pending output has been sent. Bytes that still arrive are read
@@ -157,17 +193,27 @@
             |connection: &CallerConnection| connection.socket.pending_output.is_empty();
         if self.callers.get(&caller.0).is_some_and(has_no_output) {
             // The caller has ended its session, or no reply is left to send.
-            self.callers.remove(&caller.0);
+            self.remove_caller(caller.0);
             return;
         }
         if let Some(connection) = self.callers.get_mut(&caller.0) {
             connection.is_closing = true;
+            let was_paused = std::mem::take(&mut connection.is_paused);
+            connection.codec = self.codecs.protocol.caller_codec();
             self.mark_dirty(DirtySocket::Caller(caller.0));
             after!(CLOSE_TIMEOUT, [cx], caller_close_timed_out(caller.0));
+            if was_paused {
+                call!([cx], read_caller(caller.0, true));
+            }
         }
     }
 
     fn caller_close_timed_out(&mut self, _: CX![], number: u64) {
-        self.callers.remove(&number);
+        self.remove_caller(number);
+    }
+
+    fn remove_caller(&mut self, number: u64) -> bool {
+        self.ledger.remove(number);
+        self.callers.remove(&number).is_some()
     }
 }
--- a/crates/node/src/codecs.rs
+++ b/crates/node/src/codecs.rs
@@ -35,6 +35,12 @@
     /// Appends received bytes to the input buffer.
     fn extend(&mut self, bytes: &[u8]);
 
+    /// Returns the number of received bytes that have not been decoded.
+    fn buffered_bytes(&self) -> usize;
+
+    /// Returns the memory that the input buffer occupies, in bytes.
+    fn allocated_bytes(&self) -> usize;
+
     /// Removes and returns the next complete message, or `None` when more bytes are needed.
     ///
     /// # Errors
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -11,6 +11,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 use lycheedoor_net::BootClock;
+use lycheedoor_net::ClientLedger;
 use lycheedoor_net::DeadlineTimer;
 use lycheedoor_pool::ObjectCall;
 use lycheedoor_pool::ObjectKind;
@@ -52,6 +53,9 @@
 /// Interval of the upkeep, which bounds the memory of histograms and checks for changed settings.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval at which the time limits of callers are checked.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A connection with output that has not been flushed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DirtySocket {
@@ -75,6 +79,8 @@
     pub(crate) settings_modified_at: Option<SystemTime>,
     pub(crate) last_socket_number: u64,
     pub(crate) callers: BTreeMap<u64, CallerConnection>,
+    pub(crate) ledger: ClientLedger,
+    next_sweep_at: MonoTime,
     pub(crate) members: BTreeMap<u64, MemberConnection>,
     pub(crate) readers: BTreeMap<ObjectKind, StoreReader>,
     pub(crate) prober: StoreProber,
@@ -111,6 +117,8 @@
             settings: setup.settings,
             last_socket_number: 0,
             callers: BTreeMap::new(),
+            ledger: ClientLedger::new(setup.client_limits),
+            next_sweep_at: MonoTime::ZERO,
             members: BTreeMap::new(),
             readers: BTreeMap::new(),
             prober: StoreProber::default(),
@@ -258,6 +266,10 @@
         self.close_overdue_peers(cx);
         self.write_log();
         let now = self.now(cx.now());
+        if now >= self.next_sweep_at {
+            self.next_sweep_at = now + SWEEP_INTERVAL;
+            self.close_overdue_callers(cx, now);
+        }
         if now >= self.next_upkeep_at {
             self.next_upkeep_at = now + UPKEEP_INTERVAL;
             self.metrics.run_upkeep();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! encodings of callers, members and the platform are supplied through the traits
 //! [`WireProtocol`], [`StoreCodec`] and [`PromotionCodec`].
 
+mod caller_limits;
 mod callers;
 mod codecs;
 mod driver;
--- a/crates/node/src/pages.rs
+++ b/crates/node/src/pages.rs
@@ -23,6 +23,13 @@
     body_bytes: 1024,
 };
 
+/// Most connections to one of the pages. The load balancer and collectors use a few.
+const MAX_PAGE_CONNECTIONS: usize = 64;
+
+/// Largest amount of unsent output for a client that does not read; above it the connection is
+/// closed. It has room for a few pages of metrics.
+const MAX_PENDING_OUTPUT_BYTES: usize = 1024 * 1024;
+
 /// The page that all requests of a connection get, chosen by the address they arrive on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Page {
@@ -32,11 +39,21 @@
     Metrics,
 }
 
+impl Page {
+    fn purpose(self) -> &'static str {
+        match self {
+            Self::Readiness => "probes",
+            Self::Metrics => "metrics",
+        }
+    }
+}
+
 /// A connection from the load balancer or a metrics collector.
 pub(crate) struct PageConnection {
     socket: Socket,
     decoder: RequestDecoder,
     page: Page,
+    has_asked: bool,
 }
 
 impl Driver {
@@ -49,6 +66,13 @@
     }
 
     fn accept_page_connection(&mut self, cx: CX![], stream: TcpStream, page: Page) {
+        let of_page = self.page_connections.iter().filter(|(_, c)| c.page == page);
+        let connections = of_page.map(|(number, connection)| (*number, connection.has_asked));
+        let limit = MAX_PAGE_CONNECTIONS;
+        let replaced = Self::replaced_connection(page.purpose(), connections, limit, limit);
+        if let Some(replaced) = replaced {
+            self.page_connections.remove(&replaced);
+        }
         let number = self.new_socket_number();
         let ready = fwd_to!([cx], page_connection_ready(number) as (Ready));
         match Socket::register(cx, stream, ready) {
@@ -58,6 +82,7 @@
                     socket,
                     decoder,
                     page,
+                    has_asked: false,
                 };
                 self.page_connections.insert(number, connection);
             }
@@ -91,6 +116,7 @@
                 ReadOutcome::Closed => return None,
             }
             while connection.decoder.next_request().ok()?.is_some() {
+                connection.has_asked = true;
                 let mut out = Vec::new();
                 match connection.page {
                     Page::Readiness => {
@@ -104,6 +130,12 @@
                     }
                 }
                 connection.socket.pending_output.extend_from_slice(&out);
+                if connection.socket.pending_output.len() > MAX_PENDING_OUTPUT_BYTES {
+                    connection.socket.flush().ok()?;
+                }
+                if connection.socket.pending_output.len() > MAX_PENDING_OUTPUT_BYTES {
+                    return None;
+                }
             }
             connection.socket.flush().ok()?;
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -55,6 +55,7 @@
 pub(crate) struct IncomingPeer {
     socket: Socket,
     codec: PeerServerCodec,
+    has_sent: bool,
 }
 
 /// The response to a message from another VM that is being handled. It carries the first message to
@@ -196,14 +197,26 @@
     }
 
     pub(crate) fn peer_accepted(&mut self, cx: CX![], stream: TcpStream) {
+        // Many VMs may connect in one turn of the event loop, before any of them is read from.
+        let max_silent = self.ledger.limits().reserved_sockets();
+        let peers = self.incoming_peers.iter();
+        let peers = peers.map(|(number, peer)| (*number, peer.has_sent));
+        let replaced = Self::replaced_connection("peers", peers, usize::MAX, max_silent);
+        if let Some(replaced) = replaced {
+            self.incoming_peers.remove(&replaced);
+        }
         let number = self.new_socket_number();
         let ready = fwd_to!([cx], incoming_peer_ready(number) as (Ready));
         match Socket::register(cx, stream, ready) {
             Ok(mut socket) => {
                 socket.set_nodelay();
                 let codec = PeerServerCodec::default();
-                self.incoming_peers
-                    .insert(number, IncomingPeer { socket, codec });
+                let peer = IncomingPeer {
+                    socket,
+                    codec,
+                    has_sent: false,
+                };
+                self.incoming_peers.insert(number, peer);
             }
             Err(error) => {
                 let cause = error.to_string();
@@ -251,6 +264,7 @@
             let received = peer.codec.next_message::<PoolMessage>(&mut response);
             let (is_usable, is_last) = match received {
                 Ok(Some(envelope)) => {
+                    peer.has_sent = true;
                     response = self.answer_message(cx, envelope);
                     (true, false)
                 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use lycheedoor_core::types::VmId;
+use lycheedoor_net::ClientLimits;
 use lycheedoor_net::Listener;
 use lycheedoor_pool::PoolSettings;
 use lycheedoor_telemetry::LogBuffer;
@@ -82,6 +83,8 @@
     pub addresses: Addresses,
     /// The encodings of callers, members and the platform.
     pub codecs: Codecs,
+    /// The limits on what callers may hold.
+    pub client_limits: ClientLimits,
     /// Renders the recorded metrics for collectors.
     pub metrics: MetricsHandle,
     /// The log lines that have not been written yet.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -66,6 +66,7 @@
 pub use pool::PoolSettings;
 pub use report::Report;
 pub use roster::FleetRecord;
+pub use session::CallerUsage;
 pub use statement::Access;
 pub use statement::CallerError;
 pub use statement::CallerRequest;
--- a/crates/pool/src/requests.rs
+++ b/crates/pool/src/requests.rs
@@ -12,6 +12,7 @@
 use crate::event::CallerReply;
 use crate::event::PoolAction;
 use crate::pool::Pool;
+use crate::session::CallerUsage;
 use crate::session::CurrentStatement;
 use crate::session::Login;
 use crate::session::Operation;
@@ -27,6 +28,10 @@
 /// closed.
 const MAX_BACKLOG_REQUESTS: usize = 64;
 
+/// Size of the values and prepared statements that a session may hold. It has room for a few of the
+/// largest messages.
+const MAX_STATE_BYTES: usize = 4 * 1024 * 1024;
+
 /// The workspace name that is sent to members for a caller of a public route without a key.
 pub(crate) const PUBLIC_WORKSPACE: &str = "-";
 
@@ -124,6 +129,14 @@
         }
     }
 
+    /// Returns what the session of a caller holds in memory.
+    pub fn caller_usage(&self, caller: CallerId) -> CallerUsage {
+        self.sessions
+            .get(&caller)
+            .map(Session::usage)
+            .unwrap_or_default()
+    }
+
     fn start_session(
         &mut self,
         now: MonoTime,
@@ -210,6 +223,10 @@
         if let Some(transaction) = &mut session.transaction {
             transaction.used_at = now;
         }
+        if session.is_full_for(&statement) {
+            let error = CallerError::Busy;
+            return self.reply_error(caller, error, "session holds too much", actions);
+        }
         let operation = match statement {
             Statement::SetValue { name, value } => {
                 session.values.retain(|existing| existing.0 != name);
@@ -386,3 +403,20 @@
     let reply = CallerReply::Rejected { error, text };
     actions.push(PoolAction::Reply { caller, reply });
 }
+
+impl Session {
+    /// Returns whether a statement would make the session hold more than it may. What it replaces
+    /// still counts.
+    fn is_full_for(&self, statement: &Statement) -> bool {
+        let added = match statement {
+            Statement::SetValue { name, value } => name.len() + value.len(),
+            Statement::Prepare {
+                name,
+                statement_text,
+                ..
+            } => name.len() + statement_text.len(),
+            _ => return false,
+        };
+        self.usage().state_bytes + added > MAX_STATE_BYTES
+    }
+}
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -142,6 +142,24 @@
     pub(crate) backlog: VecDeque<CallerRequest>,
 }
 
+/// What a session holds in memory for its caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallerUsage {
+    /// Whether the session is open.
+    pub has_session: bool,
+    /// Whether a statement or transaction is in progress.
+    pub is_busy: bool,
+    /// Number of requests that wait for the current statement.
+    pub requests_ahead: usize,
+    /// Size of the texts of the current statement and of those that wait for it.
+    pub statement_bytes: usize,
+    /// Size of the session's values and prepared statements.
+    pub state_bytes: usize,
+}
+
+/// Memory of a session value or prepared statement beside its texts, in bytes.
+const STATE_ENTRY_BYTES: usize = 128;
+
 /// The database and the key that a caller sent to open its session, with the workspace of the key.
 #[derive(Clone, Debug)]
 pub(crate) struct Login {
@@ -177,6 +195,30 @@
         self.transaction.is_none() && self.current.is_none() && self.backlog.is_empty()
     }
 
+    /// Returns what the session holds in memory for its caller.
+    pub(crate) fn usage(&self) -> CallerUsage {
+        let values = self.values.iter().map(|(name, value)| (name, value));
+        let prepared = self.prepared.iter();
+        let prepared = prepared.map(|(name, prepared)| (name, &prepared.statement_text));
+        let state_bytes = values
+            .chain(prepared)
+            .map(|(name, text)| name.len() + text.len() + STATE_ENTRY_BYTES)
+            .sum();
+        let current = self.current.iter().map(|current| &current.text);
+        let ahead = self.backlog.iter().map(|request| match request {
+            CallerRequest::Query { text, .. } => text.len(),
+            CallerRequest::Start { database, key } => database.len() + key.len(),
+            CallerRequest::Terminate => 0,
+        });
+        CallerUsage {
+            has_session: self.login.is_some(),
+            is_busy: !self.is_idle(),
+            requests_ahead: self.backlog.len(),
+            statement_bytes: current.map(String::len).chain(ahead).sum(),
+            state_bytes,
+        }
+    }
+
     /// Records the position of a commit, which later reads of the session require.
     pub(crate) fn record_commit(&mut self, group: &GroupId, position: Position) {
         let latest = self.last_commits.entry(group.clone()).or_insert(position);
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -81,4 +81,7 @@
     &RELAY_LOST,
     &REPLY_IGNORED,
     &ROUTE_DIFFERS,
+    &CALLER_CLOSED_BY_LIMIT,
+    &CONNECTION_REFUSED,
+    &CONNECTION_REPLACED,
 ];
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -276,3 +276,33 @@
     "the configuration of a statement's home leads to another group; it runs on this VM",
     &["vm", "group", "version"],
 );
+
+/// LD-W-1150: connection of a caller was closed by a limit.
+pub const CALLER_CLOSED_BY_LIMIT: EventKind = event(
+    "LD-W-1150",
+    "caller_closed_by_limit",
+    Level::Warn,
+    POOL,
+    "connection of a caller was closed by a limit",
+    &["caller", "limit", "held_bytes", "all_held_bytes", "callers"],
+);
+
+/// LD-W-1151: connection was closed at once because there is no room for it.
+pub const CONNECTION_REFUSED: EventKind = event(
+    "LD-W-1151",
+    "connection_refused",
+    Level::Warn,
+    POOL,
+    "connection was closed at once because there is no room for it",
+    &["purpose", "connections"],
+);
+
+/// LD-W-1152: connection to an address that is not for callers was closed to make room for another.
+pub const CONNECTION_REPLACED: EventKind = event(
+    "LD-W-1152",
+    "connection_replaced",
+    Level::Warn,
+    POOL,
+    "connection to an address that is not for callers was closed to make room for another",
+    &["purpose", "connections"],
+);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -247,6 +247,24 @@
     description: "time line events that later ones have overwritten",
 };
 
+/// The number of bytes that a VM holds for its callers.
+pub const CALLER_HELD_BYTES: MetricKind = MetricKind {
+    name: "lycheedoor_caller_held_bytes",
+    metric_type: MetricType::Gauge,
+    unit: metrics::Unit::Bytes,
+    labels: &[],
+    description: "bytes that a VM on the users' platform holds for its callers",
+};
+
+/// The number of caller connections that were closed by a limit.
+pub const CALLERS_CLOSED: MetricKind = MetricKind {
+    name: "lycheedoor_callers_closed_total",
+    metric_type: MetricType::Counter,
+    unit: metrics::Unit::Count,
+    labels: &["limit"],
+    description: "connections of callers that a VM on the users' platform closed because of a limit",
+};
+
 /// All metrics, in the order of docs/metrics.md.
 pub const ALL: &[&MetricKind] = &[
     &STATEMENTS,
@@ -272,4 +290,6 @@
     &PEER_MESSAGES,
     &PEER_BYTES,
     &TIMELINE_LOST,
+    &CALLER_HELD_BYTES,
+    &CALLERS_CLOSED,
 ];
