Give new callers time to open a session when a VM is full

At the limit on connections, each newcomer was closed for the next one that was accepted before its first message was read. A newcomer now has 2 s, unless more than an eighth of all callers have no session; a crowd that only connects then takes its own places and not those of idle sessions. The new test of the ledger failed before the change.

--- a/crates/net/src/client_limits.rs
+++ b/crates/net/src/client_limits.rs
@@ -17,6 +17,14 @@
 /// while it is decoded and passed on, and the state of the process itself needs the rest.
 const HELD_MEMORY_DIVISOR: u64 = 4;
 
+/// Time in which a new client is not closed for another one before it has opened a session. Clients
+/// of the users' platform wait this long for a session.
+const NEWCOMER_TIME: Duration = Duration::from_secs(2);
+
+/// Part of the clients that may be newcomers without a session before they make room for each other.
+/// A crowd that only connects would otherwise take the place of all idle sessions.
+const MAX_NEWCOMERS_DIVISOR: usize = 8;
+
 /// The limits on what clients may hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
@@ -205,16 +213,26 @@
         self.clients.len() < self.limits.max_clients(other_sockets)
     }
 
-    /// Returns the client that is closed to make room: the oldest one without a session, otherwise
-    /// the one that has been idle for longest. A client with a request or transaction in progress is
-    /// not closed for another.
-    pub fn least_needed(&self) -> Option<u64> {
-        let idle = || {
-            let idle = self.clients.iter().filter(|(_, c)| !c.usage.is_busy);
-            let oldest = idle.min_by_key(|(_, client)| client.used_at);
-            oldest.map(|(number, _)| *number)
+    /// Returns the client that is closed to make room, in this order: the oldest one without a
+    /// session, if it had time to open one or if there are many of them; the session that has been
+    /// idle for longest; the oldest one without a session. A client with a request or transaction in
+    /// progress is not closed for another.
+    pub fn least_needed(&self, now: MonoTime) -> Option<u64> {
+        let without_session = self.without_session.first().copied();
+        let is_late = |number: &u64| {
+            let client = self.clients.get(number);
+            client.is_some_and(|client| now.since(client.connected_at) > NEWCOMER_TIME)
         };
-        self.without_session.first().copied().or_else(idle)
+        let max_newcomers = self.clients.len() / MAX_NEWCOMERS_DIVISOR;
+        if self.without_session.len() > max_newcomers
+            || without_session.as_ref().is_some_and(is_late)
+        {
+            return without_session;
+        }
+        let is_idle = |client: &Client| client.usage.has_session && !client.usage.is_busy;
+        let idle = self.clients.iter().filter(|(_, client)| is_idle(client));
+        let oldest = idle.min_by_key(|(_, client)| client.used_at);
+        oldest.map(|(number, _)| *number).or(without_session)
     }
 
     /// Returns the client that holds the most if all of them together hold too much.
--- a/crates/net/tests/client_limits.rs
+++ b/crates/net/tests/client_limits.rs
@@ -98,12 +98,32 @@
     ledger.update(1, busy, at(1));
     ledger.update(2, session(0), at(3));
     ledger.update(3, session(0), at(2));
-    assert_eq!(ledger.least_needed(), Some(4), "has no session");
+    assert_eq!(ledger.least_needed(at(4)), Some(4), "has no session");
     ledger.remove(4);
-    assert_eq!(ledger.least_needed(), Some(3), "was idle for longest");
+    assert_eq!(ledger.least_needed(at(4)), Some(3), "was idle for longest");
     ledger.remove(3);
     ledger.remove(2);
-    assert_eq!(ledger.least_needed(), None);
+    assert_eq!(ledger.least_needed(at(4)), None);
+}
+
+/// Guards against a full process that closes each newcomer for the next one before it has read the
+/// newcomer's first message, and against a crowd of newcomers that takes the place of sessions.
+#[test]
+fn newcomers_have_time_to_open_a_session() {
+    let mut ledger = ledger(4_000, SMALLEST_MACHINE_DESCRIPTORS);
+    for number in 0..80 {
+        ledger.add(number, at(0));
+        ledger.update(number, session(0), at(number));
+    }
+    for number in 80..89 {
+        ledger.add(number, at(100));
+        assert_eq!(ledger.least_needed(at(100)), Some(0), "{number}");
+    }
+    assert_eq!(ledger.least_needed(at(103)), Some(80), "sends nothing");
+    for number in 89..95 {
+        ledger.add(number, at(100));
+    }
+    assert_eq!(ledger.least_needed(at(100)), Some(80), "is one of a crowd");
 }
 
 /// Guards against clients that keep a connection by sending or reading a little from time to time,
--- a/crates/node/src/caller_limits.rs
+++ b/crates/node/src/caller_limits.rs
@@ -42,7 +42,8 @@
         if self.ledger.has_room(other_sockets) {
             return true;
         }
-        let Some(number) = self.ledger.least_needed() else {
+        let now = self.now(cx.now());
+        let Some(number) = self.ledger.least_needed(now) else {
             let values = ["callers".into(), self.callers.len().into()];
             emit_limited_by_cause(&events::CONNECTION_REFUSED, "callers", &values);
             return false;
