--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! encodings of callers, members and the platform are supplied through the traits
 //! [`WireProtocol`], [`StoreCodec`], [`PromotionCodec`] and [`UsageCodec`].
 
+mod caller_limits;
 mod callers;
 mod codecs;
 mod driver;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -78,6 +78,7 @@
 pub use room::MemberRoom;
 pub use room::RoomShare;
 pub use roster::FleetRecord;
+pub use session::CallerUsage;
 pub use statement::Access;
 pub use statement::CallerError;
 pub use statement::CallerRequest;
