--- a/crates/pool/tests/usage_reports.rs
+++ b/crates/pool/tests/usage_reports.rs
@@ -115,6 +115,48 @@
     }
 }
 
+/// Guards against reports with a token that another VM's claim has outdated: a holder that was cut off
+/// from the others and from the platform's interface checks its claim before it goes on.
+#[test]
+fn holder_that_was_cut_off_checks_its_claim_first() {
+    for offset in (0..WINDOW_MS).step_by(500) {
+        let (mut fleet, _) = settled(8);
+        let holder = fleet.holder();
+        fleet.run(offset);
+        fleet.vms[holder].is_cut_from_vms = true;
+        fleet.vms[holder].is_cut_from_platform = true;
+        while fleet.holder() == holder {
+            fleet.run(50);
+        }
+        fleet.run(200);
+        fleet.vms[holder].is_cut_from_platform = false;
+        fleet.run(2 * WINDOW_MS);
+        assert_eq!(fleet.refused, 0, "cut off {offset} ms into a window");
+    }
+}
+
+/// Guards against a return of the duty to a VM within the lease, when its successor stops at once.
+#[test]
+fn duty_does_not_return_within_the_lease() {
+    for offset in (0..WINDOW_MS).step_by(100) {
+        let (mut fleet, _) = settled(3);
+        let first = fleet.holder();
+        fleet.run(offset);
+        fleet.vms[first].is_cut_from_vms = true;
+        let is_last = |fleet: &Fleet, vm| fleet.calls.last().is_some_and(|call| call.vm == vm);
+        while is_last(&fleet, first) {
+            fleet.run(10);
+        }
+        let next = fleet.holder();
+        fleet.vms[first].is_cut_from_vms = false;
+        fleet.run(1_200);
+        fleet.stop(next);
+        // The stand-in checks the order of the calls.
+        fleet.run(4 * WINDOW_MS);
+        assert_ne!(fleet.holder(), next);
+    }
+}
+
 /// Guards against the loss of more than the last second of a VM's counts when it is killed.
 #[test]
 fn counts_of_a_killed_vm_are_lost_for_a_second_at_most() {
@@ -241,7 +283,7 @@
 /// lacks the latest writes, also when the holder dies with it.
 #[test]
 fn store_restored_from_an_older_copy() {
-    for age_ms in [1_000, 6_000, 20_000] {
+    for age_ms in [1_000, 3_200, 3_600, 6_000, 20_000] {
         for holder_dies in [false, true] {
             let (mut fleet, _) = settled(8);
             let copy = fleet.record.clone();
