Add a check of declarations before they are published

Entries that can never match and settings without effect were published unnoticed, and the difference from the version in force was shown only after publication.

The check subcommand publishes nothing. Excerpts of findings are built from names, so that no secret on the line is shown.

--- a/crates/publish/src/main.rs
+++ b/crates/publish/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod difference;
+mod findings;
 
 use std::fs;
 use std::io;
@@ -19,6 +20,7 @@
 use lycheedoor_platform::random_nonce;
 use lycheedoor_platform::read_config;
 use lycheedoor_platform::update_config;
+use lycheedoor_settings::Declarations;
 use lycheedoor_settings::InputFile;
 use lycheedoor_settings::check_config;
 use lycheedoor_settings::read_declarations;
@@ -44,6 +46,10 @@
     File { file: String, error: io::Error },
     #[error("nothing was published: {0}")]
     InvalidFiles(lycheedoor_settings::Report),
+    #[error("{0} warnings, which --deny-warnings does not allow")]
+    DeniedWarnings(usize),
+    #[error(transparent)]
+    Merge(#[from] MergeError),
     #[error("{0}; nothing was published")]
     Read(PlatformError),
     #[error("version {0} is in force, which is not the expected version; nothing was published")]
@@ -55,9 +61,11 @@
 impl PublishError {
     fn exit_code(&self) -> u8 {
         match self {
-            Self::File { .. } | Self::InvalidFiles(_) => EXIT_INVALID_FILES,
+            Self::File { .. } | Self::InvalidFiles(_) | Self::DeniedWarnings(_) => {
+                EXIT_INVALID_FILES
+            }
             Self::Read(_) => EXIT_UNAVAILABLE,
-            Self::UnexpectedVersion(_) => EXIT_REFUSED,
+            Self::UnexpectedVersion(_) | Self::Merge(_) => EXIT_REFUSED,
             Self::Update(error) => error.exit_code(),
         }
     }
@@ -75,11 +83,21 @@
 }
 
 fn run(options: &Options) -> Result<(), PublishError> {
-    let config = read_declaration_files(&options.files)?;
+    let texts = read_texts(&options.files)?;
+    let files: Vec<_> = options
+        .files
+        .iter()
+        .zip(&texts)
+        .map(|(name, text)| InputFile { name, text })
+        .collect();
+    let declarations = check_files(&files)?;
+    if options.inspect {
+        return inspect(options, &files, declarations);
+    }
     match options.platform {
         Some(address) if !options.check => {
             let client = Client::new(address, options.timeout);
-            publish(&client, config, options.expected_version)
+            publish(&client, declarations.config, options.expected_version)
         }
         _ => {
             println!("declarations are valid");
@@ -88,24 +106,21 @@
     }
 }
 
-fn read_declaration_files(names: &[String]) -> Result<Config, PublishError> {
-    let mut texts = Vec::new();
-    for name in names {
-        let text = fs::read_to_string(name).map_err(|error| PublishError::File {
+fn read_texts(names: &[String]) -> Result<Vec<String>, PublishError> {
+    let read = |name: &String| {
+        fs::read_to_string(name).map_err(|error| PublishError::File {
             file: name.clone(),
             error,
-        })?;
-        texts.push(text);
-    }
-    let files: Vec<_> = names
-        .iter()
-        .zip(&texts)
-        .map(|(name, text)| InputFile { name, text })
-        .collect();
-    match read_declarations(&files) {
+        })
+    };
+    names.iter().map(read).collect()
+}
+
+fn check_files(files: &[InputFile<'_>]) -> Result<Declarations, PublishError> {
+    match read_declarations(files) {
         Ok(declarations) => {
             eprint!("{}", declarations.warnings.render());
-            Ok(declarations.config)
+            Ok(declarations)
         }
         Err(report) => {
             eprint!("{}", report.render());
@@ -114,6 +129,43 @@
     }
 }
 
+/// Reports findings about the configuration that a publication would put in force, and how it
+/// differs from the one in force. Without a platform, reports findings about the files alone.
+fn inspect(
+    options: &Options,
+    files: &[InputFile<'_>],
+    declarations: Declarations,
+) -> Result<(), PublishError> {
+    let mut config = declarations.config;
+    let mut in_force = None;
+    if let Some(address) = options.platform {
+        let client = Client::new(address, options.timeout);
+        let base = read_config(&client).map_err(PublishError::Read)?;
+        // Keys that operators granted or withdrew by command decide which entries can match.
+        config = merge(&Publication::new(base.clone(), config), &base)?.config;
+        in_force = Some(base.config);
+    }
+    let findings = findings::find(&config);
+    for finding in &findings {
+        eprint!("{}", finding.render(files));
+    }
+    match in_force {
+        Some(before) => {
+            print!("{}", difference::describe(&before, &config));
+            println!("compared with version {}", before.version);
+        }
+        None => println!(
+            "not compared with the version in force, nor with keys set by command: no --platform"
+        ),
+    }
+    let warnings = declarations.warnings.faults().len() + findings.len();
+    if options.deny_warnings && warnings > 0 {
+        return Err(PublishError::DeniedWarnings(warnings));
+    }
+    println!("declarations are valid, with {warnings} warnings");
+    Ok(())
+}
+
 fn publish(
     client: &Client,
     declared: Config,
