Test that the check of declarations follows keys set by command

The check reports a workspace without a key. Keys that were granted or withdrawn with lycheedoor-ctl decide that as well as the files, so the test checks both.

--- a/crates/publish/tests/check.rs
+++ b/crates/publish/tests/check.rs
@@ -9,9 +9,14 @@
 use std::fs;
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::Duration;
 
 use insta::assert_snapshot;
 use lycheedoor_core::config::TenantKey;
+use lycheedoor_core::types::Nonce;
+use lycheedoor_platform::Client;
+use lycheedoor_platform::OperatorChange;
+use lycheedoor_platform::update_config;
 use lycheedoor_standin::platform::Server;
 
 const SECRET: &str = "c0ffee11c0ffee22c0ffee33c0ffee44c0ffee55c0ffee66c0ffee77c0ffee88";
@@ -142,3 +147,28 @@
     assert_eq!(server.counts().puts, puts);
     assert_snapshot!([published, checked].join("---\n"));
 }
+
+/// Guards against warnings about a workspace whose key was granted by command, and against silence
+/// about one whose only key was withdrawn.
+#[test]
+fn keys_set_by_command_are_taken_into_account() {
+    let server = Server::start("127.0.0.1:0".parse().unwrap()).unwrap();
+    let client = Client::new(server.address(), Duration::from_secs(5));
+    let address = server.address().to_string();
+    let platform = ["--platform", address.as_str(), "--timeout-ms", "5000"];
+    let added = "[workspace.globex]\nrate_per_s = 1\nburst = 1\n";
+    run("keys", &platform, &[], added);
+    let granted = OperatorChange::AddKey {
+        workspace: "globex".into(),
+        key: TenantKey::new("sample-tenant-key-4712").digest(),
+    };
+    update_config(&client, Nonce(1), |current| granted.apply(current)).unwrap();
+    let after_grant = run("keys", &["check"], &platform, added);
+    let withdrawn = OperatorChange::WithdrawKey {
+        workspace: "acme".into(),
+        key: TenantKey::new("sample-tenant-key-4711").digest(),
+    };
+    update_config(&client, Nonce(2), |current| withdrawn.apply(current)).unwrap();
+    let after_withdrawal = run("keys", &["check"], &platform, added);
+    assert_snapshot!([after_grant, after_withdrawal].join("---\n"));
+}
