Take an answer of a former era to a write for a lost one

Such an answer was ignored. A claim whose answer stated a lower era, such as a response without the header, would have waited for good, since the driver reports each write once.

--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -99,9 +99,7 @@
         outcome: WriteOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
-        if !self.is_of_present_era(now, &outcome, actions) {
-            return;
-        }
+        let outcome = self.check_outcome_era(now, outcome, actions);
         if let WriteOutcome::Conflict { revision, record } = &outcome {
             match record {
                 Some(_) => self.record_revisions.insert(name.to_owned(), *revision),
--- a/crates/pool/src/store_era.rs
+++ b/crates/pool/src/store_era.rs
@@ -111,19 +111,24 @@
         answer
     }
 
-    /// Returns whether the outcome of a write may be used. One of a former era may be lost again.
-    pub(crate) fn is_of_present_era(
+    /// Returns the outcome of a write, which is unknown if its answer is of a former era: what was
+    /// written may be lost again.
+    pub(crate) fn check_outcome_era(
         &mut self,
         now: MonoTime,
-        outcome: &WriteOutcome,
+        outcome: WriteOutcome,
         actions: &mut Vec<PoolAction>,
-    ) -> bool {
-        let (WriteOutcome::Written(revision) | WriteOutcome::Conflict { revision, .. }) = outcome
+    ) -> WriteOutcome {
+        let (WriteOutcome::Written(revision) | WriteOutcome::Conflict { revision, .. }) = &outcome
         else {
-            return true;
+            return outcome;
         };
-        self.note_store_era(now, revision.era, actions);
-        revision.era == self.store_era()
+        let era = revision.era;
+        self.note_store_era(now, era, actions);
+        if era < self.store_era() {
+            return WriteOutcome::Unknown;
+        }
+        outcome
     }
 
     /// Returns whether the records of the fleet have been read in the present era.
--- a/crates/pool/tests/store_era.rs
+++ b/crates/pool/tests/store_era.rs
@@ -115,8 +115,12 @@
     list_records(&mut harness);
     assert!(run_to_claim(&mut harness, 2_000, None));
     grant_claim(&mut harness, FORMER_REVISION);
-    advance_with_dead_primary(&mut harness, 400);
+    advance_with_dead_primary(&mut harness, 200);
     assert_eq!(promoted(&harness), None);
+
+    forget_claims(&mut harness);
+    harness.event(PoolEvent::StoreProbed { is_answered: true });
+    assert!(run_to_claim(&mut harness, 2_000, None));
     let claim = StoreRevision::new(1, COPY_REVISION + 3);
     grant_claim(&mut harness, claim);
     advance_with_dead_primary(&mut harness, 400);
