--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -100,15 +100,10 @@
         outcome: WriteOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
-        let is_usable = self.is_of_present_era(now, &outcome, actions);
+        let outcome = self.check_outcome_era(now, outcome, actions);
         if name == USAGE_RECORD {
-            let outcome = Some(outcome).filter(|_| is_usable);
-            let outcome = outcome.unwrap_or(WriteOutcome::Unknown);
             return self.usage_record_written(now, outcome, actions);
         }
-        if !is_usable {
-            return;
-        }
         if let WriteOutcome::Conflict { revision, record } = &outcome {
             match record {
                 Some(_) => self.record_revisions.insert(name.to_owned(), *revision),
