Leave a silent primary to the failover, and begin at once on a VM's start

Closing reads that a silent primary had not answered removed the sign by which its failure is noticed. Its statements stay until it has answered another or counts as down. Since writes show how a left primary answers, it gets no probes. A member that gets no reads to probe with is used again 15 s after its last bad answer; before, its verdict was repeated each second for as long as there was no load.

All members are new to a VM that starts, though they are warm. During its startup phase it no longer holds back.

--- a/crates/pool/src/adaptive.rs
+++ b/crates/pool/src/adaptive.rs
@@ -34,12 +34,6 @@
         }
         let homes = self.group_homes(group);
         let (count, rank) = homes.count_and_rank(id, &self.settings.vm);
-        // All members are new to a VM that starts, though most of them have been up for long.
-        let rank = if self.startup_ends_at.is_some() {
-            0
-        } else {
-            rank
-        };
         Some(BeginShare::new(member.entry.slots, count, rank))
     }
 
@@ -54,7 +48,9 @@
         is_needed: bool,
     ) -> bool {
         let running = u32::try_from(running).unwrap_or(u32::MAX);
-        let is_ramping = member.pace.is_ramping();
+        // All members are new to a VM that starts, though most of them have been up for long.
+        let is_starting = self.startup_ends_at.is_some();
+        let is_ramping = member.pace.is_ramping() && !is_starting;
         let share = is_ramping.then(|| self.begin_share(id, member)).flatten();
         member.pace.has_room(now, running, share, is_needed)
     }
--- a/crates/pool/src/member_health.rs
+++ b/crates/pool/src/member_health.rs
@@ -53,6 +53,10 @@
 /// Time after which a member that went down, or was left to probes, starts afresh.
 const RELAPSE_WINDOW: Duration = Duration::from_secs(10);
 
+/// Time without a bad answer after which a member is used again although no probe was sent, because
+/// no reads arrived.
+const MAX_TIME_WITHOUT_EVIDENCE: Duration = Duration::from_secs(15);
+
 /// Time between two probes of all VMs together.
 const PROBE_SPACING: Duration = Duration::from_millis(50);
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -100,6 +104,7 @@
     hold_until: MonoTime,
     next_probe_at: MonoTime,
     good_probes: u32,
+    bad_at: MonoTime,
 }
 
 /// What a VM knows about how a member answers.
@@ -150,6 +155,7 @@
         self.bad += 1.0;
         if let Some(left_out) = &mut self.left_out {
             left_out.good_probes = 0;
+            left_out.bad_at = now;
             left_out.hold_until = left_out.hold_until.max(now + INITIAL_HOLD);
             if left_out.cause == LeaveCause::Others {
                 left_out.cause = LeaveCause::Agreed;
@@ -193,7 +199,8 @@
         if let Some(left_out) = self.left_out {
             let rests_on_others = left_out.cause == LeaveCause::Others;
             let is_taken_back = rests_on_others && cause.is_none();
-            if left_out.good_probes < REQUIRED_GOOD_PROBES && !is_taken_back {
+            let is_outdated = now.since(left_out.bad_at) >= MAX_TIME_WITHOUT_EVIDENCE;
+            if left_out.good_probes < REQUIRED_GOOD_PROBES && !is_taken_back && !is_outdated {
                 return None;
             }
             self.left_out = None;
@@ -215,6 +222,7 @@
             hold_until: now + self.hold,
             next_probe_at: now + self.hold,
             good_probes: 0,
+            bad_at: now,
         });
         Some(HealthChange::Left { cause, agreeing })
     }
--- a/crates/pool/src/member_verdicts.rs
+++ b/crates/pool/src/member_verdicts.rs
@@ -62,6 +62,8 @@
     ) -> bool {
         let known = group.members.get(id).map(|member| &member.health);
         let left_out = known.filter(|health| health.left_out_since().is_some());
+        // The statements that only the primary can run show how it answers.
+        let may_probe = may_probe && group.primary.as_ref() != Some(id);
         if left_out.is_none_or(|health| may_probe && health.is_probe_due(now)) {
             return true;
         }
@@ -122,10 +124,20 @@
             if !waits || now.since(link.waiting_since) <= MIN_OVERDUE_TIME {
                 continue;
             }
-            let group = self.groups.get(&link.group);
-            let member = group.and_then(|group| group.members.get(&link.member));
-            let limit = member.map(|member| member.average_answer_time() * OVERDUE_FACTOR);
-            if limit.is_some_and(|limit| now.since(link.waiting_since) > limit)
+            let Some(group) = self.groups.get(&link.group) else {
+                continue;
+            };
+            let Some(member) = group.members.get(&link.member) else {
+                continue;
+            };
+            let limit = member.average_answer_time() * OVERDUE_FACTOR;
+            // The silence of a primary shows by its unanswered statements that it has failed.
+            let is_silent_primary = group.primary.as_ref() == Some(&link.member)
+                && member
+                    .last_answer_at
+                    .is_none_or(|at| at <= link.waiting_since);
+            if now.since(link.waiting_since) > limit
+                && !is_silent_primary
                 && self.is_adaptive(&link.group)
             {
                 overdue.push(*id);
--- a/crates/pool/tests/member_health.rs
+++ b/crates/pool/tests/member_health.rs
@@ -133,6 +133,17 @@
     assert!(after.1.late <= before.1.late, "{before:?} {after:?}");
 }
 
+/// Guards against a member that stays left to probes, and is told of each second, because no reads
+/// arrive that could be probes.
+#[test]
+fn member_without_reads_to_probe_with_is_used_again() {
+    let (_, mut fleet) = play_with("m2", behaviour(0, 1_000, 0), true);
+    fleet.play(ms(20_000), 0, 0);
+    fleet.reset_counts();
+    fleet.play(ms(2_000), 0, 0);
+    assert_eq!(fleet.verdicts_sent, 0);
+}
+
 /// Guards against VMs that depend on verdicts of others: their own evidence has to suffice.
 #[test]
 fn hanging_replica_is_found_without_messages() {
