Keep short backlogs in order of arrival, and find the highest priority of each group

Seen on the way: the floor and the tokens took 0 for the highest priority, also in groups whose routes begin at 1.

--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -68,7 +68,7 @@
         let deadline = (current.started_at + max_wait).max(now + MAX_TOKEN_WAIT);
         // Tokens go to the highest priority first. The others get theirs in order of arrival, so that
         // none of them starves, and so do all where the group does not share room by priority.
-        let is_highest = current.route.priority == 0;
+        let is_highest = self.is_highest_priority(&current.route);
         let priority = match self.shares_room(&current.route.group) {
             true => u8::from(!is_highest),
             false => 0,
--- a/crates/pool/src/config.rs
+++ b/crates/pool/src/config.rs
@@ -87,6 +87,16 @@
         self.routes.len() + self.groups.len() + self.rates.len() + self.keys.len()
     }
 
+    /// Returns the highest priority among the routes of each group, which is the lowest number.
+    pub(crate) fn highest_priorities(&self) -> BTreeMap<GroupId, u8> {
+        let mut highest = BTreeMap::new();
+        for route in self.routes.values() {
+            let known = highest.entry(route.group.clone()).or_insert(u8::MAX);
+            *known = route.priority.min(*known);
+        }
+        highest
+    }
+
     /// Converts the configuration to the form that the rate limiter takes.
     pub(crate) fn rates_config(&self) -> lycheedoor_core::config::Config {
         let workspaces = self.rates.iter().map(|(id, rate)| {
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -23,7 +23,6 @@
 use crate::placement::Requirement;
 use crate::placement::requirement_of;
 use crate::pool::Pool;
-use crate::room::is_starved;
 use crate::session::CurrentStatement;
 use crate::statement::CallerError;
 
@@ -43,6 +42,10 @@
 /// Precision of the order in which workspaces take turns.
 const TURN_SCALE: u64 = 1_000_000;
 
+/// How many waiting statements of a workspace keep the order of arrival. In a short backlog, turns
+/// would only make more statements late.
+const STATEMENTS_IN_ORDER: u64 = 8;
+
 /// A pass over the waiting statements of a group when capacity may be available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DispatchPass {
@@ -222,21 +225,23 @@
         group: &Group,
         max_wait: Duration,
     ) -> bool {
-        let priority = |caller: &CallerId| {
+        let route = |caller: &CallerId| {
             let session = self.sessions.get(caller);
             let current = session.and_then(|session| session.current.as_ref());
-            current.map_or(0, |current| current.route.priority)
+            current.map(|current| &current.route)
         };
+        let priority = |caller: &CallerId| route(caller).map(|route| route.priority);
         let own = priority(&caller);
         let mut same = group.waiting.iter();
         self.shares_room(id)
-            && own > 0
+            && route(&caller).is_some_and(|route| !self.is_highest_priority(route))
             && same.all(|waiting| *waiting == caller || priority(waiting) != own)
             && self.is_group_floor_due(now + max_wait, id, group)
     }
 
     /// Sorts statements by priority and, within a priority, so that the workspaces take turns in
-    /// proportion to their rates. Groups that do not share room keep the order of arrival.
+    /// proportion to their rates. The first statements of each workspace, and groups that do not
+    /// share room, keep the order of arrival.
     fn sort_by_turn(&self, id: &GroupId, group: &Group, order: &mut [CallerId]) {
         if !self.shares_room(id) {
             return;
@@ -251,8 +256,9 @@
                 let rate = self.config.rates.get(&login.workspace);
                 let rate = rate.map_or(1, |rate| u64::from(rate.per_s.max(1)));
                 let count = counts.entry(&login.workspace).or_default();
-                *count += TURN_SCALE / rate;
-                turns.insert(*caller, (current.route.priority, *count));
+                *count += 1;
+                let turn = count.saturating_sub(STATEMENTS_IN_ORDER) * TURN_SCALE / rate;
+                turns.insert(*caller, (current.route.priority, turn));
             }
         }
         order.sort_by_key(|caller| turns.get(caller).copied());
@@ -334,7 +340,8 @@
             let session = self.sessions.get(caller)?;
             let current = session.current.as_ref()?;
             let waited = now.since(current.started_at);
-            is_starved(&current.route, waited).then_some(current.started_at)
+            self.is_short_of_room(&current.route, waited)
+                .then_some(current.started_at)
         };
         let starved = order.iter().enumerate();
         let starved = starved.filter_map(|(at, caller)| Some((starved_since(caller)?, at)));
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -87,6 +87,8 @@
 pub struct Pool {
     pub(crate) settings: PoolSettings,
     pub(crate) config: Rc<PoolConfig>,
+    /// The highest priority among the routes of each group.
+    pub(crate) highest_priorities: BTreeMap<GroupId, u8>,
     pub(crate) store_watchers: BTreeMap<ObjectKind, StoreWatcher>,
     pub(crate) relay: StoreRelay,
     pub(crate) evacuated: BTreeSet<DataCentreId>,
@@ -147,6 +149,7 @@
         Self {
             settings,
             config: Rc::default(),
+            highest_priorities: BTreeMap::new(),
             store_watchers: ObjectKind::ALL.into_iter().map(watcher).collect(),
             relay: StoreRelay::default(),
             evacuated: BTreeSet::new(),
--- a/crates/pool/src/room.rs
+++ b/crates/pool/src/room.rs
@@ -163,6 +163,18 @@
         rule.is_some_and(|rule| rule.is_adaptive)
     }
 
+    /// Returns whether no route of its group has a higher priority than a route.
+    pub(crate) fn is_highest_priority(&self, route: &RouteRule) -> bool {
+        let highest = self.highest_priorities.get(&route.group);
+        highest.is_none_or(|highest| route.priority <= *highest)
+    }
+
+    /// Returns whether a statement has waited so long that it may go before higher priorities.
+    pub(crate) fn is_short_of_room(&self, route: &RouteRule, waited: Duration) -> bool {
+        waited >= route.statement_timeout * STARVED_WAIT_PERCENT / 100
+            && !self.is_highest_priority(route)
+    }
+
     fn room_share(&self, group: &GroupId, member: &MemberId, slots: u32) -> RoomShare {
         let homes = self.group_homes(group);
         let part = homes.rate_part(member, &self.settings.vm);
@@ -182,7 +194,7 @@
             return true;
         };
         let share = self.room_share(&route.group, id, member.entry.slots);
-        let is_starved = is_starved(route, waited);
+        let is_starved = self.is_short_of_room(route, waited);
         let answer_time = member.average_answer_time();
         room.may_start(now, route.priority, is_starved, share, answer_time)
     }
@@ -228,9 +240,10 @@
         let Some(member) = self.links.get(&link).map(|link| link.member.clone()) else {
             return;
         };
+        let is_starved = self.is_short_of_room(&route, waited);
         if let Some(group) = self.groups.get_mut(&route.group) {
             let room = group.rooms.entry(member).or_default();
-            room.started(now, route.priority, is_starved(&route, waited));
+            room.started(now, route.priority, is_starved);
         }
     }
 
@@ -335,8 +348,3 @@
         !self.shares_room(group) || current.is_none_or(|current| current.route.priority <= priority)
     }
 }
-
-/// Returns whether a statement has waited so long that it may go before higher priorities.
-pub(crate) fn is_starved(route: &RouteRule, waited: Duration) -> bool {
-    route.priority > 0 && waited >= route.statement_timeout * STARVED_WAIT_PERCENT / 100
-}
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -114,6 +114,7 @@
             Some(ObjectValue::Config(new_config)) if new_config.version > self.config.version => {
                 let version = new_config.version;
                 self.config = new_config;
+                self.highest_priorities = self.config.highest_priorities();
                 let rates_config = Arc::new(self.config.rates_config());
                 self.rates.set_distribution(RateDistribution::Concentrated {
                     rate_per_slot: RATE_PER_HOME_PER_S,
