--- a/review/7/play.py
+++ b/review/7/play.py
@@ -23,8 +23,9 @@
     primary, confirming, other = Member("m1", "zone-a"), Member("m2", "zone-a"), Member("m3", "zone-b")
     service = Service("ledger", [primary, confirming, other], 1, record)
     store.promote = service.promote
+    service.report = lambda member: store.put("servers", member.name, service.entry(member))
     for member in service.members:
-        store.put("servers", member.name, service.entry(member))
+        service.report(member)
     config = configuration(["ledger"])
     config["backends"][0]["syncReplicas"] = 1
     store.put("config", "main", config)
@@ -65,7 +66,7 @@
 
             def come_back(member=member):
                 service.set_up(member, True)
-                store.put("servers", member.name, service.entry(member))
+                service.report(member)
 
             threading.Timer(DOWN_S, come_back).start()
         time.sleep(KILL_AFTER_S)
--- a/review/lib-2/replicated.py
+++ b/review/lib-2/replicated.py
@@ -23,6 +23,7 @@
         self.name, self.members, self.record = name, members, record
         self.sync_replicas = sync_replicas
         self.lock = threading.RLock()
+        self.report = lambda member: None  # called when what a member says of itself has changed
         self.term, self.leader = 1, members[0]
         self.token = 0
         self.promotions = []  # time, member and the identifiers in its log when it began to lead
@@ -92,6 +93,8 @@
             self.promotions.append((time.monotonic(), member.name, {identifier for _, _, identifier in member.log}))
             for other in self.members:
                 other.is_paused = False
+                if other.is_up:
+                    self.report(other)
             self.record.write("member %s leads term %d with its log to %d.%d" % (member.name, self.term, *member.position()))
 
     def handle(self, member, connection):
