Tell what a relay sends by itself from its answer to a request

A follower that asks its relay once a second took anything that the relay sent for the answer, also changes sent before the request. A request that was lost with such a change under way was not repeated, and the other relay not asked, for a second. Cause: any StoreUpdates from the relay that was asked ended the wait for its answer. Evidence: with other messages on the way, store_relays::lost_messages_between_vms_delay_no_change failed (20% of messages lost, VM 2 behind on configuration 9); its trace shows a change sent by the relay at 27,724 ms that ended the wait for a request of 27,737 ms, which was lost, until 28,737 ms. Change: changes that were not asked for are a message of their own, StoreNews, for VMs that understand message version 2. Result: news_of_a_relay_is_not_the_answer_to_a_request fails if news count as answers and passes now; store_relays, store_era, store_restore and roster pass.

--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -98,7 +98,7 @@
         /// The revisions up to which the sender knows the objects of each kind.
         revisions: Vec<(ObjectKind, StoreRevision)>,
     },
-    /// Passes on what the sender has read from the store.
+    /// The reply to `SubscribeStore`, which passes on what the sender has read from the store.
     StoreUpdates {
         /// The latest era of the store that the sender knows of.
         era: u64,
@@ -131,6 +131,16 @@
         /// The priority that lacks room; 0 is the highest.
         priority: u8,
     },
+    /// Passes on what the sender has read from the store since it last told the receiver, who has not
+    /// asked for it. Only for VMs that understand version 2; others get `StoreUpdates`.
+    StoreNews {
+        /// The latest era of the store that the sender knows of.
+        era: u64,
+        /// What is new for the receiver.
+        updates: Vec<StoreUpdate>,
+        /// Time since the store last answered the sender, in milliseconds.
+        answered_ms: u64,
+    },
 }
 
 impl PoolMessage {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -455,7 +455,18 @@
                 era,
                 updates,
                 answered_ms,
-            } => self.relayed_read_received(now, from, era, updates, answered_ms, actions),
+            } => {
+                if self.relayed_read_received(now, from, era, updates, answered_ms, actions) {
+                    self.subscription_answered(from, actions);
+                }
+            }
+            PoolMessage::StoreNews {
+                era,
+                updates,
+                answered_ms,
+            } => {
+                self.relayed_read_received(now, from, era, updates, answered_ms, actions);
+            }
             PoolMessage::StoreNotRead => self.relay_refused(now, from, actions),
             PoolMessage::Usage(message) => {
                 self.usage_message_received(now, from, incarnation, *message, actions);
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -68,6 +68,9 @@
 /// time between two probes and the timeouts of those that fail.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_800);
 
+/// The version of the messages between VMs that tell news of a relay from its answers.
+const STORE_NEWS_VERSION: u32 = 2;
+
 /// Where this VM reads the changes of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 enum Source {
@@ -337,8 +340,16 @@
         }
     }
 
-    /// Applies what a relay has read from the store. A relay that does not know yet that the store has
-    /// come back from a copy counts as one that has not answered.
+    /// Follows the relay that has answered the request of this VM.
+    pub(crate) fn subscription_answered(&mut self, from: &VmId, actions: &mut Vec<PoolAction>) {
+        let request = self.relay.request.take_if(|(to, _)| to == from);
+        if request.is_some() {
+            self.set_source(Source::Relay(from.clone()), actions);
+        }
+    }
+
+    /// Applies what a relay has read from the store; returns whether it was usable. A relay that does
+    /// not know yet that the store has come back from a copy counts as one that has not answered.
     pub(crate) fn relayed_read_received(
         &mut self,
         now: MonoTime,
@@ -347,24 +358,16 @@
         updates: Vec<StoreUpdate>,
         answered_ms: u64,
         actions: &mut Vec<PoolAction>,
-    ) {
+    ) -> bool {
         let is_own_relay = self.relay.relays.contains(from) && !self.relay.is_relay;
         if !is_own_relay || self.relay.source == Source::Starting || era < self.store_era() {
-            return;
+            return false;
         }
         self.note_store_era(now, era, actions);
         let age = Duration::from_millis(answered_ms);
         if age > MAX_ANSWER_AGE {
-            return self.relay_refused(now, from, actions);
-        }
-        if self
-            .relay
-            .request
-            .as_ref()
-            .is_some_and(|(to, _)| to == from)
-        {
-            self.relay.request = None;
-            self.set_source(Source::Relay(from.clone()), actions);
+            self.relay_refused(now, from, actions);
+            return false;
         }
         self.relay.failed_until.remove(from);
         let answered_at = (now - age).max(self.store_answered_at);
@@ -377,6 +380,7 @@
             let changes = watcher.apply(update);
             self.apply_changes(now, kind, changes, actions);
         }
+        true
     }
 
     /// Returns whether this VM may tell others what it knows.
@@ -441,10 +445,20 @@
             follower.revisions.insert(update.kind(), update.revision);
         }
         let age = now.since(self.store_answered_at).as_millis();
-        let message = PoolMessage::StoreUpdates {
-            era: self.store_era(),
-            updates,
-            answered_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        let era = self.store_era();
+        let answered_ms = u64::try_from(age).unwrap_or(u64::MAX);
+        let is_answer = has_asked || !self.roster.understands(vm, STORE_NEWS_VERSION);
+        let message = match is_answer {
+            true => PoolMessage::StoreUpdates {
+                era,
+                updates,
+                answered_ms,
+            },
+            false => PoolMessage::StoreNews {
+                era,
+                updates,
+                answered_ms,
+            },
         };
         self.send_peer(vm, message, actions);
     }
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -31,7 +31,7 @@
 /// The version of the messages between VMs that this build understands. A VM sends a message only to
 /// VMs whose record states at least the version that introduced it, since a build that does not know
 /// a message closes the connection.
-pub(crate) const MESSAGE_VERSION: u32 = 1;
+pub(crate) const MESSAGE_VERSION: u32 = 2;
 
 /// A record of the fleet in the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/pool/tests/store_relays.rs
+++ b/crates/pool/tests/store_relays.rs
@@ -2,10 +2,21 @@
 //! cost few calls.
 
 mod store_fleet;
+mod support;
 
 use std::time::Duration;
 
+use lycheedoor_core::types::DataCentreId;
+use lycheedoor_core::types::VmId;
+use lycheedoor_pool::FleetRecord;
+use lycheedoor_pool::ObjectKind;
+use lycheedoor_pool::ObjectValue;
+use lycheedoor_pool::PoolAction;
+use lycheedoor_pool::PoolEvent;
+use lycheedoor_pool::PoolMessage;
 use store_fleet::StoreFleet;
+use support::INCARNATION;
+use support::PoolHarness;
 
 /// The shortest time in which a configuration has to be in force, on the smallest deployment.
 const CONFIGURATION_BOUND: Duration = Duration::from_secs(3);
@@ -129,3 +140,62 @@
         expect_changes_in_time(&mut fleet, version);
     }
 }
+
+fn answer_of_relay(message: PoolMessage, relay: &VmId) -> PoolEvent {
+    PoolEvent::PeerSent {
+        from: relay.clone(),
+        incarnation: INCARNATION,
+        message,
+    }
+}
+
+/// Returns the relay that is asked next for what it reads.
+fn next_asked_relay(harness: &mut PoolHarness) -> VmId {
+    for _ in 0..400 {
+        harness.advance(5);
+        for action in std::mem::take(&mut harness.other_actions) {
+            if let PoolAction::SendPeer {
+                to,
+                message: PoolMessage::SubscribeStore { .. },
+                ..
+            } = action
+            {
+                return to;
+            }
+        }
+    }
+    panic!("no relay was asked for 2 s");
+}
+
+/// Guards against a follower whose request is lost and that takes for its answer what the relay sent
+/// before, so that it asks neither again nor elsewhere for a second.
+#[test]
+fn news_of_a_relay_is_not_the_answer_to_a_request() {
+    let mut harness = PoolHarness::with_peers(&["vm-2", "vm-3"]);
+    for name in ["vm-2", "vm-3"] {
+        let record = FleetRecord::Vm {
+            incarnation: INCARNATION,
+            address: support::peer_address(),
+            accepts_forwarded: true,
+            message_version: 2,
+            data_centre: Some(DataCentreId::from("north")),
+        };
+        let record = Some(ObjectValue::Fleet(record));
+        harness.change_object(ObjectKind::Fleet, &format!("vm.{name}"), record);
+    }
+    let relay = next_asked_relay(&mut harness);
+    let answer = PoolMessage::StoreUpdates {
+        era: 0,
+        updates: Vec::new(),
+        answered_ms: 0,
+    };
+    harness.event(answer_of_relay(answer, &relay));
+    assert_eq!(next_asked_relay(&mut harness), relay);
+    let news = PoolMessage::StoreNews {
+        era: 0,
+        updates: Vec::new(),
+        answered_ms: 0,
+    };
+    harness.event(answer_of_relay(news, &relay));
+    assert_ne!(next_asked_relay(&mut harness), relay);
+}
