Find watches whose response the store has lost

Cause: a connection on which the store has lost a response returns nothing further, but nothing gave up a watch on it before its longest wait and a margin, 32 s. Keep-alive does not end it and probes have a connection of their own. It is enough that a watch is sent, or answered, during the silence; that changes in quick succession delay the next watch is one way to it, not the cause. All kinds of object are concerned; followers share what their relay misses, and wait as long for a change that they read by themselves. Change: each 1.8 s one relay asks for the revision of the store and tells the others. A question without an answer counts as a failed probe.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -42,6 +42,7 @@
 use crate::run::Addresses;
 use crate::run::Codecs;
 use crate::run::NodeSetup;
+use crate::store::StoreChecker;
 use crate::store::StoreProber;
 use crate::store::StoreReader;
 use crate::store::StoreWriter;
@@ -90,6 +91,7 @@
     pub(crate) members: BTreeMap<u64, MemberConnection>,
     pub(crate) readers: BTreeMap<ObjectKind, StoreReader>,
     pub(crate) prober: StoreProber,
+    pub(crate) checker: StoreChecker,
     pub(crate) writer: StoreWriter,
     pub(crate) promotions: BTreeMap<u64, PendingPromotion>,
     pub(crate) usage_reports: BTreeMap<u64, PendingReport>,
@@ -131,6 +133,7 @@
             members: BTreeMap::new(),
             readers: BTreeMap::new(),
             prober: StoreProber::default(),
+            checker: StoreChecker::default(),
             writer: StoreWriter::default(),
             promotions: BTreeMap::new(),
             usage_reports: BTreeMap::new(),
@@ -212,6 +215,7 @@
                 self.load.store_calls += u64::from(call != ObjectCall::Probe);
                 self.read_store(cx, call);
             }
+            PoolAction::AbandonRead { kind } => self.abandon_read(cx, kind),
             PoolAction::ReconnectStore => self.abort_reads(cx),
             PoolAction::WriteRecord {
                 name,
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -254,6 +254,11 @@
             let values = [vm.as_str().into(), (*cause).into()];
             emit_limited_by_kind(&events::RELAY_LOST, &values);
         }
+        Report::WatchLost { kind, since } => {
+            let since = since.to_string();
+            let values = [kind.as_str().into(), since.as_str().into()];
+            emit_limited_by_kind(&events::WATCH_LOST, &values);
+        }
         Report::StoreRestored { era } => {
             counter!(STORE_RESTORES.name).increment(1);
             emit(&events::STORE_RESTORED, &[(*era).into()]);
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -1,5 +1,5 @@
 //! Calls to the platform's store. Each kind of object has its own connection for reads, since a
-//! watch occupies it; writes share one more.
+//! watch occupies it; the checks of watches share one more, and so do writes.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -45,6 +45,9 @@
 /// another one.
 pub(crate) const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// The name of checks in logs and metrics.
+const CHECK: &str = "check";
+
 /// Size limits of the store's responses; a page holds about 1 MB of objects.
 const RESPONSE_LIMITS: Limits = Limits {
     head_bytes: 16 * 1024,
@@ -140,6 +143,13 @@
     timer: Option<FixedTimerKey>,
 }
 
+/// The connection on which watches are checked.
+#[derive(Default)]
+pub(crate) struct StoreChecker {
+    connection: Option<HttpConnection>,
+    call: Option<(ObjectCall, FixedTimerKey)>,
+}
+
 /// The connection that writes records.
 #[derive(Default)]
 pub(crate) struct StoreWriter {
@@ -152,6 +162,7 @@
     pub(crate) fn read_store(&mut self, cx: CX![], call: ObjectCall) {
         let (kind, timeout) = match &call {
             ObjectCall::Probe => return self.probe_store(cx),
+            ObjectCall::Revision | ObjectCall::Check { .. } => return self.check_store(cx, call),
             ObjectCall::List { kind, .. } => (*kind, CALL_TIMEOUT),
             ObjectCall::Watch { kind, .. } => (*kind, MAX_WATCH_WAIT + WATCH_TIMEOUT_MARGIN),
         };
@@ -236,6 +247,7 @@
             }
         }
         self.prober.connection = None;
+        self.finish_check(cx, ObjectAnswer::Unavailable);
         self.write_failed(cx);
     }
 
@@ -246,6 +258,73 @@
         }
     }
 
+    /// Closes the connection of a kind; its pending call gets no answer, and none is reported.
+    pub(crate) fn abandon_read(&mut self, cx: CX![], kind: ObjectKind) {
+        let reader = self.readers.remove(&kind);
+        if let Some((_, timer)) = reader.and_then(|reader| reader.call) {
+            cx.timer_del(timer);
+        }
+    }
+
+    fn check_store(&mut self, cx: CX![], call: ObjectCall) {
+        let mut bytes = Vec::new();
+        self.codecs.store.encode_read(&call, &mut bytes);
+        let timer = after!(CALL_TIMEOUT, [cx], finish_check(ObjectAnswer::Unavailable));
+        self.checker.call = Some((call, timer));
+        if self.checker.connection.is_none() {
+            let ready = fwd_to!([cx], checker_ready() as (Ready));
+            match HttpConnection::open(cx, self.addresses.store, ready) {
+                Ok(connection) => self.checker.connection = Some(connection),
+                Err(error) => warn_unreachable(CHECK, &error.to_string()),
+            }
+        }
+        let connection = self.checker.connection.as_mut();
+        if !connection.is_some_and(|connection| connection.send(&bytes)) {
+            self.finish_check(cx, ObjectAnswer::Unavailable);
+        }
+    }
+
+    fn checker_ready(&mut self, cx: CX![], ready: Ready) {
+        let Some(connection) = &mut self.checker.connection else {
+            return;
+        };
+        match connection.progress(&ready) {
+            HttpProgress::Waiting => {}
+            HttpProgress::Disconnected => self.finish_check(cx, ObjectAnswer::Unavailable),
+            HttpProgress::Answered(response) => {
+                let call = self.checker.call.as_ref().map(|(call, _)| call);
+                let answer = call.map_or(ObjectAnswer::Unavailable, |call| {
+                    self.codecs.store.decode_read(call, &response)
+                });
+                self.note_store_era(cx, &response);
+                self.finish_check(cx, answer);
+            }
+        }
+    }
+
+    /// Completes the pending check; one without a usable answer also closes the connection.
+    fn finish_check(&mut self, cx: CX![], answer: ObjectAnswer) {
+        if answer == ObjectAnswer::Unavailable {
+            self.checker.connection = None;
+        }
+        let Some((call, timer)) = self.checker.call.take() else {
+            return;
+        };
+        cx.timer_del(timer);
+        count_call(CHECK, &answer);
+        if answer == ObjectAnswer::Unavailable {
+            warn_unreachable(CHECK, "no usable response");
+        }
+        let event = match (call, answer) {
+            (ObjectCall::Check { kind, .. }, answer) => PoolEvent::ObjectsChecked { kind, answer },
+            (_, ObjectAnswer::Page { revision, .. }) => PoolEvent::StoreRevisionRead {
+                revision: Some(revision),
+            },
+            _ => PoolEvent::StoreRevisionRead { revision: None },
+        };
+        self.handle_event(cx, event);
+    }
+
     fn probe_store(&mut self, cx: CX![]) {
         let timer = after!(PROBE_TIMEOUT, [cx], finish_probe(false));
         self.prober.timer = Some(timer);
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -121,6 +121,18 @@
         /// The era of the answer.
         era: u64,
     },
+    /// A question for the revision of the store has ended.
+    StoreRevisionRead {
+        /// The present revision; `None` if there was no usable answer.
+        revision: Option<StoreRevision>,
+    },
+    /// A read of changes without waiting for one has ended.
+    ObjectsChecked {
+        /// The kind of object that the call was for.
+        kind: ObjectKind,
+        /// The answer of the store, or that there was none.
+        answer: ObjectAnswer,
+    },
     /// A probe of the store has ended.
     StoreProbed {
         /// Whether the store has answered in time.
@@ -250,8 +262,14 @@
         /// The connection to close.
         link: ConnectionId,
     },
-    /// Start a list, watch or probe call to the store.
+    /// Start a call that reads from the store.
     ReadObjects(ObjectCall),
+    /// End the list or watch call for a kind of object without an answer, and use a new connection for
+    /// the next one.
+    AbandonRead {
+        /// The kind of object that the call is for.
+        kind: ObjectKind,
+    },
     /// End the reads from the store without an answer, and use new connections for the next ones.
     ReconnectStore,
     /// Write a record of the fleet if it still has the expected revision.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -55,6 +55,7 @@
 mod usage;
 mod usage_duty;
 pub mod usage_report;
+mod watch_check;
 
 pub use cold::cold_share;
 pub use config::Consistency;
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -131,6 +131,12 @@
         /// The priority that lacks room; 0 is the highest.
         priority: u8,
     },
+    /// States that the store has reached a revision, which the sender has just read. Only for relays
+    /// that understand version 2.
+    StoreReached {
+        /// The revision that the sender has read.
+        revision: StoreRevision,
+    },
     /// Passes on what the sender has read from the store since it last told the receiver, who has not
     /// asked for it. Only for VMs that understand version 2; others get `StoreUpdates`.
     StoreNews {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -41,6 +41,7 @@
 use crate::successor_monitor::SuccessorMonitor;
 use crate::usage_report::UsageReporter;
 use crate::usage_report::UsageRules;
+use crate::watch_check::WatchChecks;
 
 /// Interval between checks of timeouts while callers have statements or transactions in progress,
 /// or the VM is shutting down. A timeout is detected at most this much late.
@@ -91,6 +92,7 @@
     pub(crate) highest_priorities: BTreeMap<GroupId, u8>,
     pub(crate) store_watchers: BTreeMap<ObjectKind, StoreWatcher>,
     pub(crate) relay: StoreRelay,
+    pub(crate) watch_checks: WatchChecks,
     pub(crate) evacuated: BTreeSet<DataCentreId>,
     pub(crate) groups: BTreeMap<GroupId, Group>,
     pub(crate) sessions: BTreeMap<CallerId, Session>,
@@ -152,6 +154,7 @@
             highest_priorities: BTreeMap::new(),
             store_watchers: ObjectKind::ALL.into_iter().map(watcher).collect(),
             relay: StoreRelay::default(),
+            watch_checks: WatchChecks::default(),
             evacuated: BTreeSet::new(),
             groups: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -215,6 +218,12 @@
                 self.objects_read(now, kind, answer, actions);
             }
             PoolEvent::StoreEraSeen { era } => self.note_store_era(now, era, actions),
+            PoolEvent::StoreRevisionRead { revision } => {
+                self.store_revision_read(now, revision, actions);
+            }
+            PoolEvent::ObjectsChecked { kind, answer } => {
+                self.objects_checked(now, kind, answer, actions);
+            }
             PoolEvent::StoreProbed { is_answered } => {
                 self.store_probed(now, is_answered, actions);
             }
@@ -265,9 +274,11 @@
         let retries = retries.filter(|_| !waits_for_probe);
         let rates = self.rates.next_deadline();
         let relay = self.next_relay_deadline();
+        let check = self.next_watch_check();
         retries
             .chain(rates)
             .chain(relay)
+            .chain(check)
             .fold(self.next_tick, MonoTime::min)
     }
 
@@ -289,6 +300,7 @@
         for watcher in self.store_watchers.values_mut() {
             actions.extend(watcher.next_call(now).map(PoolAction::ReadObjects));
         }
+        self.run_watch_checks(now, actions);
     }
 
     fn tick_interval(&self) -> Duration {
@@ -468,6 +480,7 @@
                 self.relayed_read_received(now, from, era, updates, answered_ms, actions);
             }
             PoolMessage::StoreNotRead => self.relay_refused(now, from, actions),
+            PoolMessage::StoreReached { revision } => self.store_reached(now, revision, actions),
             PoolMessage::Usage(message) => {
                 self.usage_message_received(now, from, incarnation, *message, actions);
             }
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -31,6 +31,7 @@
 use crate::store_era::STORE_ERA_VERSION;
 use crate::store_revision::StoreRevision;
 use crate::store_watcher::StoreWatcher;
+use crate::watch_check::STORE_REVISION_VERSION;
 
 /// One relay may fail without its followers having to read the store.
 const RELAYS_PER_DATA_CENTRE: usize = 2;
@@ -101,6 +102,8 @@
     /// The relays of the own data centre, from the one that this VM prefers.
     relays: SmallVec<[VmId; RELAYS_PER_DATA_CENTRE]>,
     is_relay: bool,
+    /// The relays of all data centres in the order of names; empty unless this VM is one of them.
+    all_relays: Vec<VmId>,
     /// The request that has not been answered, and when it was sent.
     request: Option<(VmId, MonoTime)>,
     next_request_at: MonoTime,
@@ -152,6 +155,10 @@
         );
         let was_relay = self.relay.is_relay;
         self.relay.is_relay = relays.contains(own);
+        self.relay.all_relays = match self.relay.is_relay {
+            true => self.choose_all_relays(),
+            false => Vec::new(),
+        };
         // Other builds pass on what they read in another form.
         relays.retain(|vm| {
             let entry = self.roster.get(vm);
@@ -177,6 +184,33 @@
         }
     }
 
+    fn choose_all_relays(&self) -> Vec<VmId> {
+        let data_centres = self.roster.data_centres();
+        let relays = data_centres
+            .iter()
+            .flat_map(|data_centre| choose_relays(data_centre, self.roster.names_in(data_centre)));
+        let understands = |vm: &VmId| self.roster.understands(vm, STORE_REVISION_VERSION);
+        let mut relays: Vec<VmId> = relays.filter(understands).collect();
+        relays.sort();
+        relays
+    }
+
+    /// Returns the relays of all data centres except this VM, if it is one.
+    pub(crate) fn other_relays(&self) -> Vec<VmId> {
+        let relays = self.relay.all_relays.iter();
+        relays
+            .filter(|vm| **vm != self.settings.vm)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns how many relays are before this VM in the order of names.
+    pub(crate) fn relay_rank(&self) -> u32 {
+        let own = &self.settings.vm;
+        let rank = self.relay.all_relays.partition_point(|vm| vm < own);
+        u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+
     /// Reads the store itself if this VM is a relay, and seeks a relay otherwise.
     fn choose_source(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         self.relay.request = None;
@@ -486,10 +520,13 @@
     }
 
     /// Returns whether this VM has to find out by itself whether the store can be reached: for its
-    /// followers, or because a watch is not answered before something changes.
+    /// followers, because a call got no answer, or because a watch is not answered before something
+    /// changes.
     fn needs_probes(&self) -> bool {
         self.relay.source != Source::Starting
-            && (!self.relay.followers.is_empty() || self.is_store_lost())
+            && (!self.relay.followers.is_empty()
+                || self.is_store_lost()
+                || self.relay.failed_probes > 0)
     }
 
     /// Makes the next probe at once, after a call got no answer.
@@ -515,17 +552,22 @@
         actions: &mut Vec<PoolAction>,
     ) {
         self.relay.is_probing = false;
-        if is_answered {
-            if let Source::Searching { since } = &mut self.relay.source
-                && self.store_lost_since.is_some()
-            {
-                // The relays may have found the store at the same time.
-                *since = now;
-                self.relay.failed_until.clear();
-            }
-            self.own_call_answered(now, actions);
-            return self.update_followers(now, actions);
+        if !is_answered {
+            return self.probe_failed(now, actions);
+        }
+        if let Source::Searching { since } = &mut self.relay.source
+            && self.store_lost_since.is_some()
+        {
+            // The relays may have found the store at the same time.
+            *since = now;
+            self.relay.failed_until.clear();
         }
+        self.own_call_answered(now, actions);
+        self.update_followers(now, actions);
+    }
+
+    /// Handles the end of a probe, or of a check that serves as one, without an answer.
+    pub(crate) fn probe_failed(&mut self, now: MonoTime, actions: &mut Vec<PoolAction>) {
         self.relay.failed_probes += 1;
         let is_lost = self.relay.failed_probes >= MAX_FAILED_PROBES;
         self.relay.next_probe_at = match is_lost {
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -252,6 +252,13 @@
         /// How this VM noticed it.
         cause: &'static str,
     },
+    /// A watch did not return changes that the store has.
+    WatchLost {
+        /// The kind of object that was watched.
+        kind: ObjectKind,
+        /// The revision from which the watch continued.
+        since: StoreRevision,
+    },
     /// The store has come back from an older copy.
     StoreRestored {
         /// The era that has begun.
--- a/crates/pool/src/store.rs
+++ b/crates/pool/src/store.rs
@@ -97,6 +97,15 @@
         /// The last revision whose changes are already known.
         revision: StoreRevision,
     },
+    /// Asks for the present revision of the store.
+    Revision,
+    /// Asks for the changes to objects of a kind after a revision, without waiting for one.
+    Check {
+        /// The kind of object to check.
+        kind: ObjectKind,
+        /// The last revision whose changes are already known.
+        revision: StoreRevision,
+    },
     /// Asks for any answer, to find out whether the store can be reached. The content may be old.
     Probe,
 }
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -79,6 +79,7 @@
         changes: Vec<ObjectChange>,
         actions: &mut Vec<PoolAction>,
     ) {
+        self.watch_checks.note_returned(&changes);
         let mut roster_changed = false;
         for change in changes {
             if self.is_missing_in_copy(now, kind, &change, actions) {
--- a/crates/pool/src/store_watcher.rs
+++ b/crates/pool/src/store_watcher.rs
@@ -20,8 +20,8 @@
 /// store is available again.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Changes of one kind that are read at once, each by a call of its own. Further ones are read
-/// together, since each call wakes all VMs and counts against the rate of the store.
+/// Changes of one kind that are read at once. Further ones are read together, since each call wakes
+/// all VMs and counts against the rate of the store.
 const MAX_SINGLE_CHANGES: u32 = 3;
 
 /// Time after which one more change is read at once, and the longest delay of a change that is not.
@@ -62,6 +62,8 @@
     /// The era of the latest complete list.
     listed_era: u64,
     is_call_in_progress: bool,
+    /// When the latest call was made.
+    called_at: MonoTime,
     /// The era of the answers that the call in progress continues; `None` if it is a first page.
     continued_era: Option<u64>,
     retry_at: Option<MonoTime>,
@@ -75,6 +77,8 @@
     is_relayed: bool,
     /// The revision up to which the store is watched nevertheless.
     required_revision: StoreRevision,
+    /// The revision up to which a check has shown that there are no changes.
+    unchanged_until: StoreRevision,
     /// Whether changes that were passed on have overtaken the call in progress.
     is_call_outdated: bool,
     /// How many more changes are read at once, as of `single_changes_at`.
@@ -91,6 +95,7 @@
             era: 0,
             listed_era: 0,
             is_call_in_progress: false,
+            called_at: MonoTime::ZERO,
             continued_era: None,
             retry_at: None,
             retry_delay: INITIAL_RETRY_DELAY,
@@ -99,6 +104,7 @@
             is_loaded: false,
             is_relayed: false,
             required_revision: StoreRevision::default(),
+            unchanged_until: StoreRevision::default(),
             is_call_outdated: false,
             single_changes: MAX_SINGLE_CHANGES,
             single_changes_at: MonoTime::ZERO,
@@ -158,6 +164,46 @@
         self.is_relayed && self.revision().is_some_and(is_current)
     }
 
+    /// Returns whether this VM waits for the response to a watch.
+    pub(crate) fn awaits_changes(&self) -> bool {
+        self.is_call_in_progress && self.revision().is_some() && !self.leaves_watch_to_others()
+    }
+
+    /// Returns whether changes in quick succession, or a call without an answer, delay the next call.
+    pub(crate) fn is_delayed(&self) -> bool {
+        !self.is_call_in_progress && self.next_deadline().is_some()
+    }
+
+    /// Returns when the latest call was made.
+    pub(crate) fn called_at(&self) -> MonoTime {
+        self.called_at
+    }
+
+    /// Returns the revision up to which the objects are known; the lowest one while they are listed.
+    pub(crate) fn known_until(&self) -> StoreRevision {
+        let known = |revision: StoreRevision| revision.max(self.unchanged_until);
+        self.revision().map(known).unwrap_or_default()
+    }
+
+    /// Returns the revision from which the watch in progress continues if it has not returned what
+    /// happened up to `reached`, a revision of the store.
+    pub(crate) fn unreturned_since(&self, reached: StoreRevision) -> Option<StoreRevision> {
+        let revision = self.revision().filter(|_| self.awaits_changes())?;
+        let is_known = self.known_until() >= reached;
+        (revision.era == reached.era && !is_known).then_some(revision)
+    }
+
+    /// Records that there are no changes up to a revision that the watch in progress has not returned.
+    pub(crate) fn confirm_unchanged(&mut self, revision: StoreRevision) {
+        self.unchanged_until = self.unchanged_until.max(revision);
+    }
+
+    /// Gives up the call in progress; its answer must not be passed on any more.
+    pub(crate) fn abandon_call(&mut self) {
+        self.is_call_in_progress = false;
+        self.is_call_outdated = false;
+    }
+
     /// Returns the call to make now, if one is due; it counts as in progress until `answered`.
     pub fn next_call(&mut self, now: MonoTime) -> Option<ObjectCall> {
         let is_waiting = self.retry_at.is_some_and(|at| at > now);
@@ -168,6 +214,7 @@
             self.phase = initial_phase();
         }
         self.is_call_in_progress = true;
+        self.called_at = now;
         self.retry_at = None;
         self.continued_era = match &self.phase {
             Phase::List { revision, .. } => revision.map(|revision| revision.era),
@@ -205,7 +252,7 @@
                 self.retry_delay = INITIAL_RETRY_DELAY;
                 self.phase = Phase::Watch(revision);
                 if !changes.is_empty() {
-                    self.pace_calls(now);
+                    self.pace_calls(now, changes.len());
                 }
                 self.remember(&changes, revision);
                 changes
@@ -333,8 +380,9 @@
         gone.chain(listed).collect()
     }
 
-    /// Delays the next call if changes arrive in quick succession.
-    fn pace_calls(&mut self, now: MonoTime) {
+    /// Delays the next call if changes arrive in quick succession. Changes that were returned together
+    /// count as well, since further ones are likely to follow.
+    fn pace_calls(&mut self, now: MonoTime, changes: usize) {
         let elapsed = now.since(self.single_changes_at).as_millis();
         let gained = elapsed / CHANGE_INTERVAL.as_millis();
         if gained > 0 {
@@ -345,9 +393,11 @@
                 .min(MAX_SINGLE_CHANGES);
             self.single_changes_at = now;
         }
-        match self.single_changes.checked_sub(1) {
+        let changes = u32::try_from(changes).unwrap_or(u32::MAX);
+        match self.single_changes.checked_sub(changes) {
             Some(rest) => self.single_changes = rest,
             None => {
+                self.single_changes = 0;
                 self.retry_at = Some(now + CHANGE_INTERVAL);
                 self.single_changes_at = now + CHANGE_INTERVAL;
             }
--- a/crates/pool/tests/store_fleet/mod.rs
+++ b/crates/pool/tests/store_fleet/mod.rs
@@ -22,6 +22,7 @@
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
+use lycheedoor_core::types::WorkspaceId;
 use lycheedoor_pool::MemberEntry;
 use lycheedoor_pool::ObjectAnswer;
 use lycheedoor_pool::ObjectCall;
@@ -33,6 +34,7 @@
 use lycheedoor_pool::PoolConfig;
 use lycheedoor_pool::PoolEvent;
 use lycheedoor_pool::PoolSettings;
+use lycheedoor_pool::RateRule;
 use lycheedoor_pool::Report;
 use lycheedoor_pool::StoreRevision;
 use lycheedoor_pool::WriteOutcome;
@@ -42,6 +44,9 @@
 const PEER_DELAY: Duration = Duration::from_millis(1);
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 const WATCH_WAIT: Duration = Duration::from_secs(28);
+
+/// Time after which a VM gives up a watch whose response is lost.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(32);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The price of a probe, in parts of a hundred of that of another call.
@@ -52,6 +57,9 @@
     is_running: bool,
     is_paused: bool,
     is_cut_from_store: bool,
+    /// Whether the store's responses to the VM are lost. The connection of a call whose response is lost
+    /// returns nothing further, also after the silence.
+    is_store_silent: bool,
     /// What arrived while the VM was paused.
     held: Vec<PoolEvent>,
     /// The number of the current call of each kind, which later answers to earlier calls lack.
@@ -136,6 +144,7 @@
                 is_running: true,
                 is_paused: false,
                 is_cut_from_store: false,
+                is_store_silent: false,
                 held: Vec::new(),
                 calls: BTreeMap::new(),
                 version: 0,
@@ -221,6 +230,22 @@
         self.write(ObjectKind::Configuration, "main", Some(value));
     }
 
+    /// Sets a configuration that one VM does not pass on to another.
+    pub(crate) fn set_large_version(&mut self, version: u64) {
+        let workspaces = (0..1_000).map(|number| WorkspaceId::from(format!("w-{number}").as_str()));
+        let rate = RateRule {
+            per_s: 10,
+            burst: 10,
+        };
+        let config = PoolConfig {
+            version,
+            rates: workspaces.map(|workspace| (workspace, rate)).collect(),
+            ..PoolConfig::default()
+        };
+        let value = ObjectValue::Config(Rc::new(config));
+        self.write(ObjectKind::Configuration, "main", Some(value));
+    }
+
     pub(crate) fn set_member(&mut self, member: u32, is_draining: bool) {
         let id = format!("m-{member}");
         let entry = MemberEntry {
@@ -248,6 +273,21 @@
         self.vms[vm].is_cut_from_store = is_cut;
     }
 
+    /// Begins or ends a silence of the store towards some VMs.
+    pub(crate) fn set_store_silent(
+        &mut self,
+        vms: impl IntoIterator<Item = usize>,
+        is_silent: bool,
+    ) {
+        for vm in vms {
+            self.vms[vm].is_store_silent = is_silent;
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.vms.len()
+    }
+
     pub(crate) fn pause(&mut self, vm: usize) {
         self.vms[vm].is_paused = true;
     }
@@ -331,6 +371,9 @@
                 self.vms[vm].calls.remove(&kind);
                 PoolEvent::ObjectsRead { kind, answer }
             }
+            Due::WatchEnd(_, number) if self.vms[vm].is_store_silent => {
+                return self.lose_watch(vm, number);
+            }
             Due::WatchEnd(kind, number) => {
                 self.watches.retain(|watch| watch.3 != number);
                 let answer = match self.vms[vm].is_cut_from_store {
@@ -346,6 +389,16 @@
         self.handle(vm, event);
     }
 
+    /// Loses the response to a watch, which the VM gives up in the end.
+    fn lose_watch(&mut self, vm: usize, number: u64) {
+        let lost = self.watches.iter().position(|watch| watch.3 == number);
+        let Some((_, kind, ..)) = lost.map(|index| self.watches.remove(index)) else {
+            return;
+        };
+        let answer = Due::Answer(kind, number, ObjectAnswer::Unavailable);
+        self.schedule(WATCH_TIMEOUT, vm, answer);
+    }
+
     fn handle(&mut self, vm: usize, event: PoolEvent) {
         let state = &mut self.vms[vm];
         if !state.is_running {
@@ -367,6 +420,10 @@
     fn execute(&mut self, vm: usize, action: PoolAction) {
         match action {
             PoolAction::ReadObjects(call) => self.call(vm, call),
+            PoolAction::AbandonRead { kind } => {
+                let number = self.vms[vm].calls.remove(&kind);
+                self.watches.retain(|watch| Some(watch.3) != number);
+            }
             PoolAction::ReconnectStore => {
                 for (kind, number) in self.vms[vm].calls.clone() {
                     let answer = ObjectAnswer::Unavailable;
@@ -383,6 +440,11 @@
                 if self.vms[vm].is_cut_from_store {
                     return;
                 }
+                if self.vms[vm].is_store_silent {
+                    let outcome = WriteOutcome::Unknown;
+                    let event = PoolEvent::RecordWritten { name, outcome };
+                    return self.schedule(LIST_TIMEOUT, vm, Due::Event(event));
+                }
                 let known = self.objects.get(&(ObjectKind::Fleet, name.clone()));
                 if let Some(known) = known.filter(|known| Some(known.revision) != expected) {
                     let Some(ObjectValue::Fleet(record)) = known.value.clone() else {
@@ -436,7 +498,7 @@
     }
 
     fn call(&mut self, vm: usize, call: ObjectCall) {
-        let is_cut = self.vms[vm].is_cut_from_store;
+        let is_cut = self.vms[vm].is_cut_from_store || self.vms[vm].is_store_silent;
         self.next_number += 1;
         let number = self.next_number;
         match call {
@@ -452,6 +514,24 @@
                 let event = PoolEvent::StoreProbed { is_answered };
                 self.schedule(delay, vm, Due::Event(event));
             }
+            ObjectCall::Revision => {
+                self.calls_percent += 100;
+                let (delay, revision) = match is_cut {
+                    true => (LIST_TIMEOUT, None),
+                    false => (STORE_DELAY, Some(self.revision)),
+                };
+                let event = PoolEvent::StoreRevisionRead { revision };
+                self.schedule(delay, vm, Due::Event(event));
+            }
+            ObjectCall::Check { kind, revision } => {
+                self.calls_percent += 100;
+                let (delay, answer) = match is_cut {
+                    true => (LIST_TIMEOUT, ObjectAnswer::Unavailable),
+                    false => (STORE_DELAY, self.events_since(kind, revision)),
+                };
+                let event = PoolEvent::ObjectsChecked { kind, answer };
+                self.schedule(delay, vm, Due::Event(event));
+            }
             ObjectCall::List { kind, .. } => {
                 self.calls_percent += 100;
                 self.vms[vm].calls.insert(kind, number);
@@ -476,6 +556,9 @@
                     return self.schedule(STORE_DELAY, vm, answer);
                 }
                 self.watches.push((vm, kind, revision, number));
+                if self.vms[vm].is_store_silent {
+                    return self.lose_watch(vm, number);
+                }
                 self.schedule(WATCH_WAIT, vm, Due::WatchEnd(kind, number));
                 self.answer_watches();
             }
@@ -507,18 +590,27 @@
         self.watches = waiting;
         let answered: Vec<(usize, ObjectKind, StoreRevision, u64)> = answered;
         for (vm, kind, revision, number) in answered {
-            let newer = self
-                .log
-                .iter()
-                .filter(|(of, change)| *of == kind && change.revision.revision > revision.revision);
-            let answer = ObjectAnswer::Events {
-                changes: newer.map(|(_, change)| change.clone()).collect(),
-                revision: self.revision,
-            };
+            if self.vms[vm].is_store_silent {
+                self.watches.push((vm, kind, revision, number));
+                self.lose_watch(vm, number);
+                continue;
+            }
+            let answer = self.events_since(kind, revision);
             self.schedule(STORE_DELAY, vm, Due::Answer(kind, number, answer));
         }
     }
 
+    fn events_since(&self, kind: ObjectKind, revision: StoreRevision) -> ObjectAnswer {
+        let newer = self
+            .log
+            .iter()
+            .filter(|(of, change)| *of == kind && change.revision.revision > revision.revision);
+        ObjectAnswer::Events {
+            changes: newer.map(|(_, change)| change.clone()).collect(),
+            revision: self.revision,
+        }
+    }
+
     fn schedule(&mut self, delay: Duration, vm: usize, due: Due) {
         self.next_number += 1;
         self.due.insert(self.next_number, (vm, due));
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -81,6 +81,7 @@
     &RELAY_LOST,
     &REPLY_IGNORED,
     &ROUTE_DIFFERS,
+    &WATCH_LOST,
     &USAGE_CLAIMED,
     &USAGE_ENDED,
     &USAGE_REPORTED,
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -277,6 +277,16 @@
     &["vm", "group", "version"],
 );
 
+/// LD-W-1125: watch did not return changes that the store has.
+pub const WATCH_LOST: EventKind = event(
+    "LD-W-1125",
+    "watch_lost",
+    Level::Warn,
+    POOL,
+    "watch did not return changes that the store has; it is sent again over a new connection",
+    &["kind", "revision"],
+);
+
 /// LD-I-1130: this VM now reports usage to the platform.
 pub const USAGE_CLAIMED: EventKind = event(
     "LD-I-1130",
