Keep in the store which members may hold confirmed commits

Cause: a member is promoted once so many have answered that each confirmed commit is in one of them. The number of members that this needs was counted from the registry and from those that the process itself had seen vanish within 30 s. A process that starts after the entries of the primary and of the confirming replica have expired counts one member and promotes it on its own answer. Change: a record for each group with confirming replicas lists the members that may hold confirmed commits, and the address of those that are leaving. Members are added when they register, by the VM that ranks first for the group. One that has gone is dropped once the primary and enough replicas have reported a position that the primary reached after it had gone, so that a member which is lost for good does not prevent promotions; one that has left is replaced by the next member at its address, to which its log is transferred. Without a record a primary that was never seen counts as one more member. Commits that a member has confirmed since may be lost if it is reached by the primary alone (docs/proofs.md). Ruled out: waiting 30 s after each start, which leaves services without a primary that may safely have one, and the bound of 30 s itself, which is no bound on how long a member is down. Groups without confirming replicas write nothing.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -254,6 +254,12 @@
             let values = [vm.as_str().into(), (*cause).into()];
             emit_limited_by_kind(&events::RELAY_LOST, &values);
         }
+        Report::CommitHolders { group, members } => {
+            emit(
+                &events::COMMIT_HOLDERS,
+                &[group.as_str().into(), (*members).into()],
+            );
+        }
         Report::WatchLost { kind, since } => {
             let since = since.to_string();
             let values = [kind.as_str().into(), since.as_str().into()];
--- a/crates/pool/src/failover/claim.rs
+++ b/crates/pool/src/failover/claim.rs
@@ -153,7 +153,7 @@
                     && *replaces == failover.claimed_primary
                     && failover.unanswered_claims.contains(sequence)
             }
-            FleetRecord::Vm { .. } | FleetRecord::Usage(_) => false,
+            FleetRecord::Vm { .. } | FleetRecord::CommitHolders(_) | FleetRecord::Usage(_) => false,
         };
         let claim = match outcome {
             WriteOutcome::Written(claim) => claim,
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -256,7 +256,7 @@
 
     /// Returns how many VMs rank before this one for replacing the group's primary. VMs that send
     /// the group more statements rank first, because they notice first that its primary has failed.
-    fn own_rank(&mut self, group: &GroupId) -> u32 {
+    pub(crate) fn own_rank(&mut self, group: &GroupId) -> u32 {
         self.update_group_homes(group);
         let before = self.group_homes(group).rank_of(&self.settings.vm);
         u32::try_from(before).unwrap_or(u32::MAX)
--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -175,7 +175,7 @@
     }
 
     /// Sends a query to a member over a free connection or a new one.
-    fn query_member(
+    pub(crate) fn query_member(
         &mut self,
         now: MonoTime,
         group: &GroupId,
@@ -229,6 +229,9 @@
             return;
         };
         let is_primary = group.primary.as_ref() == Some(&member);
+        if let (Some(status), Ok(_)) = (answer.status, &answer.result) {
+            group.holders.note_position(&member, status);
+        }
         let status = answer.status.filter(|_| answer.result.is_ok());
         let is_unusable = |primary: &MemberId| {
             let state = group.members.get(primary);
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -13,6 +13,7 @@
 use lycheedoor_core::types::Term;
 use lycheedoor_core::types::VmId;
 
+use crate::commit_holders::CommitHolders;
 use crate::failover::Failover;
 use crate::member::Member;
 use crate::primary_position::SentRequest;
@@ -56,6 +57,7 @@
     /// Callers whose statements wait for a connection, in the order in which they are served.
     pub(crate) waiting: Vec<CallerId>,
     pub(crate) failover: Failover,
+    pub(crate) holders: CommitHolders,
     pub(crate) is_sampling: bool,
     /// The latest request to another VM for a position of the primary, unless it was answered.
     pub(crate) position_request: Option<SentRequest>,
@@ -78,13 +80,12 @@
         }
     }
 
-    /// Returns how many members may hold confirmed commits, including the primary and members that
-    /// disappeared recently.
-    pub(crate) fn commit_holders(&self, now: MonoTime) -> usize {
+    /// Returns how many members disappeared recently without draining.
+    pub(crate) fn recently_missing(&self, now: MonoTime) -> usize {
         let may_return = |(id, since): &(&MemberId, &MonoTime)| {
             !self.members.contains_key(*id) && now.since(**since) < MISSING_MEMBER_TIME_TO_LIVE
         };
-        self.members.len() + self.missing_members.iter().filter(may_return).count()
+        self.missing_members.iter().filter(may_return).count()
     }
 
     /// Returns the data centre of the primary; `None` if none is known.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod budget;
 mod cold;
+mod commit_holders;
 mod config;
 mod dispatch;
 mod event;
@@ -58,6 +59,7 @@
 mod watch_check;
 
 pub use cold::cold_share;
+pub use commit_holders::HolderSet;
 pub use config::Consistency;
 pub use config::GroupRule;
 pub use config::PoolConfig;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -337,6 +337,7 @@
                 self.refresh_group(now, group, actions);
             }
             self.run_failover(now, group, actions);
+            self.update_commit_holders(now, group, actions);
             self.dispatch_group(now, group, actions);
         }
         self.run_usage(now, actions);
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -6,6 +6,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 
+use crate::commit_holders::HOLDERS_RECORD_PREFIX;
 use crate::event::PoolAction;
 use crate::event::WriteOutcome;
 use crate::pool::Pool;
@@ -115,6 +116,10 @@
             let group = GroupId::from(group);
             return self.claim_answered(now, &group, outcome, actions);
         }
+        if let Some(group) = name.strip_prefix(HOLDERS_RECORD_PREFIX) {
+            let group = GroupId::from(group);
+            return self.holders_written(now, &group, &outcome, actions);
+        }
         let is_own = name.strip_prefix(VM_RECORD_PREFIX) == Some(self.settings.vm.as_str());
         let revision_is_known = self.record_revisions.contains_key(name);
         match outcome {
@@ -150,7 +155,7 @@
     }
 
     /// Returns the last known revision of a record in the present era of the store.
-    fn record_revision(&self, name: &str) -> Option<StoreRevision> {
+    pub(crate) fn record_revision(&self, name: &str) -> Option<StoreRevision> {
         let revision = self.record_revisions.get(name).copied();
         revision.filter(|revision| revision.era == self.store_era())
     }
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -21,6 +21,7 @@
 use lycheedoor_core::types::rendezvous_weight;
 use smallvec::SmallVec;
 
+use crate::commit_holders::COMMIT_HOLDERS_VERSION;
 use crate::event::PoolAction;
 use crate::message::PoolMessage;
 use crate::pool::Pool;
@@ -471,7 +472,12 @@
             let watcher = self.store_watchers.get(kind)?;
             watcher.update_since(*known)
         });
-        let updates: Vec<StoreUpdate> = news.collect();
+        let mut updates: Vec<StoreUpdate> = news.collect();
+        if !self.roster.understands(vm, COMMIT_HOLDERS_VERSION) {
+            updates
+                .iter_mut()
+                .for_each(StoreUpdate::hide_commit_holders);
+        }
         if updates.is_empty() && !has_asked {
             return;
         }
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -128,6 +128,13 @@
         /// The fencing token, or 0 before there is one.
         token: u64,
     },
+    /// The record of the members of a group that may hold confirmed commits was written.
+    CommitHolders {
+        /// The group of the members.
+        group: GroupId,
+        /// The number of the members.
+        members: usize,
+    },
     /// Statements of a priority lack room at a member, where lower ones are now held back.
     RoomWanted {
         /// The group of the member.
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -17,6 +17,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::commit_holders::HolderSet;
 use crate::store_revision::StoreRevision;
 use crate::usage_report::UsageRecord;
 
@@ -69,6 +70,8 @@
         /// The primary that is to be replaced; `None` when none was known.
         replaces: Option<MemberId>,
     },
+    /// The members of a group that may hold confirmed commits.
+    CommitHolders(HolderSet),
     /// Which VM reports usage, and what it reports. This record has a kind of its own, which the
     /// VMs do not watch, since it changes with each window.
     Usage(Box<UsageRecord>),
--- a/crates/pool/src/store.rs
+++ b/crates/pool/src/store.rs
@@ -129,6 +129,16 @@
     pub fn kind(&self) -> ObjectKind {
         self.kind
     }
+
+    /// Replaces the records that builds before message version 2 cannot decode by unusable ones.
+    pub(crate) fn hide_commit_holders(&mut self) {
+        for change in self.changes.iter_mut().flatten() {
+            if let Some(ObjectValue::Fleet(FleetRecord::CommitHolders(_))) = change.value {
+                let reason = "record of another build".to_owned();
+                change.value = Some(ObjectValue::Unusable(reason));
+            }
+        }
+    }
 }
 
 /// The answer to an [`ObjectCall`].
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -10,6 +10,7 @@
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::VmId;
 
+use crate::commit_holders::HOLDERS_RECORD_PREFIX;
 use crate::event::PoolAction;
 use crate::event::WriteOutcome;
 use crate::home::RATE_PER_HOME_PER_S;
@@ -245,6 +246,9 @@
                 .insert(change.name.clone(), change.revision),
             None => self.record_revisions.remove(&change.name),
         };
+        if let Some(group) = change.name.strip_prefix(HOLDERS_RECORD_PREFIX) {
+            self.apply_holders_record(group, change.value.as_ref(), may_be_older);
+        }
         let vm = change.name.strip_prefix(VM_RECORD_PREFIX).map(VmId::from);
         match (vm, change.value) {
             (
@@ -287,6 +291,22 @@
         }
     }
 
+    fn apply_holders_record(
+        &mut self,
+        group: &str,
+        value: Option<&ObjectValue>,
+        may_be_older: bool,
+    ) {
+        let record = match value {
+            Some(ObjectValue::Fleet(FleetRecord::CommitHolders(record))) => Some(record),
+            None => None,
+            Some(_) => return,
+        };
+        // The record is needed although no member may be registered at present.
+        let group = self.groups.entry(GroupId::from(group)).or_default();
+        group.holders.record_read(record, may_be_older);
+    }
+
     fn apply_promotion_record(
         &mut self,
         name: &str,
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -82,6 +82,7 @@
     &REPLY_IGNORED,
     &ROUTE_DIFFERS,
     &WATCH_LOST,
+    &COMMIT_HOLDERS,
     &USAGE_CLAIMED,
     &USAGE_ENDED,
     &USAGE_REPORTED,
--- a/crates/telemetry/src/events/pool.rs
+++ b/crates/telemetry/src/events/pool.rs
@@ -287,6 +287,16 @@
     &["kind", "revision"],
 );
 
+/// LD-I-1126: record of the members that may hold confirmed commits was written.
+pub const COMMIT_HOLDERS: EventKind = event(
+    "LD-I-1126",
+    "commit_holders",
+    Level::Info,
+    POOL,
+    "record of the members of a group that may hold confirmed commits was written",
+    &["group", "members"],
+);
+
 /// LD-I-1130: this VM now reports usage to the platform.
 pub const USAGE_CLAIMED: EventKind = event(
     "LD-I-1130",
