Claim no group before the records of the fleet have been read

Cause: a VM that has just started and has not read the records of the fleet counts itself as the only VM, which is a majority, and takes the group for one without a claim. It knows the members and the configuration about a second earlier, so it may claim the group and replace a primary that it does not reach. Evidence: vm_that_does_not_know_the_fleet_does_not_claim failed before (one claim within 5 s). Change: records that have never been listed do not count as known.

--- a/crates/pool/src/store_era.rs
+++ b/crates/pool/src/store_era.rs
@@ -135,7 +135,7 @@
     /// Returns whether the records of the fleet have been read in the present era.
     pub(crate) fn knows_records_of_era(&self) -> bool {
         let fleet = self.store_watchers.get(&ObjectKind::Fleet);
-        fleet.is_some_and(StoreWatcher::is_current)
+        fleet.is_some_and(|fleet| fleet.is_loaded() && fleet.is_current())
     }
 
     /// Returns whether a change is the removal of an object that the copy lacks and that stays in use.
--- a/crates/pool/tests/failover.rs
+++ b/crates/pool/tests/failover.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use lycheedoor_core::types::GroupId;
@@ -233,6 +234,20 @@
     assert_eq!(claims(&harness), 0);
 }
 
+/// Guards against a VM that has not read the records of the fleet and takes itself for the majority, or
+/// for the only one that may claim the group.
+#[test]
+fn vm_that_does_not_know_the_fleet_does_not_claim() {
+    let mut harness = PoolHarness::start_unloaded("vm-1");
+    let config = ObjectValue::Config(Rc::new(support::config(1)));
+    harness.load_objects(ObjectKind::Configuration, vec![("main".to_owned(), config)]);
+    let replicas = ["m2", "m3"].map(|name| (name.to_owned(), member(name, false)));
+    let replicas = replicas.map(|(name, entry)| (name, ObjectValue::Member(entry)));
+    harness.load_objects(ObjectKind::Members, replicas.into());
+    advance_with_dead_primary(&mut harness, 5_000);
+    assert_eq!(claims(&harness), 0);
+}
+
 /// Guards against repeated claims in the store while no member could be promoted.
 #[test]
 fn primary_without_a_successor_is_not_claimed() {
