Pause no replica while too few members run for a promotion

A replica that was paused by an attempt confirms no commit after the primary is back, since nothing resumes it. Cause: each attempt paused the replicas that it reached, also where the members that run cannot be enough. With the record of commit holders a VM knows this in more cases, and attempts go on until a member is back. Evidence: replica_is_not_paused_while_too_few_members_run failed before. Result: commit_holders and failover pass. A replica that was paused by an attempt with enough members stays paused if the primary is back before the promotion; that is open.

--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -38,6 +38,9 @@
 /// Time between repeated queries for the members' positions.
 const MEMBER_QUERY_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Delay after an attempt that found too few members. Each attempt writes a claim.
+const TOO_FEW_MEMBERS_DELAY: Duration = Duration::from_millis(500);
+
 /// Time for a promotion request to be answered and for the promoted member to become primary.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -102,6 +105,16 @@
             (0, _) | (_, FailoverCause::Planned) => candidates.clone(),
             (_, FailoverCause::Lost) => reachable_replicas(now, group),
         };
+        let confirming = usize::try_from(sync_replicas).unwrap_or(usize::MAX);
+        let can_keep_confirmed = sync_replicas == 0
+            || cause == FailoverCause::Planned
+            || queried.len().saturating_add(confirming) >= commit_holders;
+        if !can_keep_confirmed {
+            // A replica that is paused for nothing confirms no commit when the primary is back.
+            let step = "too few members run to have all commits";
+            report_step(id, step, group.primary.clone(), None, actions);
+            return group.failover.pause(now, TOO_FEW_MEMBERS_DELAY);
+        }
         let Phase::QueryingMembers {
             deadline,
             next_query_at,
@@ -132,8 +145,7 @@
         let keeps_confirmed = match (sync_replicas, cause) {
             (0, _) => true,
             (_, FailoverCause::Planned) => has_final_position,
-            (confirming, FailoverCause::Lost) => {
-                let confirming = usize::try_from(confirming).unwrap_or(usize::MAX);
+            (_, FailoverCause::Lost) => {
                 answered.saturating_add(confirming) >= commit_holders
                     && newest(&candidates) >= newest(&queried)
             }
--- a/crates/pool/tests/commit_holders.rs
+++ b/crates/pool/tests/commit_holders.rs
@@ -146,6 +146,31 @@
     assert_eq!(promoted_member(&harness), Some("m2".to_owned()));
 }
 
+/// Guards against a replica that confirms no commit after the primary is back, since it was paused by an
+/// attempt that could not succeed.
+#[test]
+fn replica_is_not_paused_while_too_few_members_run() {
+    let all = holders(&["m1", "m2", "m3"]);
+    let mut harness = start(vec![member("m3", false)], Some(all));
+    let mut attempts = 0;
+    for _ in 0..1_000 {
+        harness.advance(5);
+        harness.accept_links();
+        while let Some((link, command)) = harness.take_command("m3") {
+            assert!(!matches!(command, MemberCommand::Pause(_)));
+            harness.report_status(link, false, 9);
+        }
+        if claims(&harness) > 0 {
+            attempts += 1;
+            harness.other_actions.clear();
+            harness.revision += 1;
+            let claim = harness.store_revision();
+            grant_claim(&mut harness, claim);
+        }
+    }
+    assert!(attempts > 0);
+}
+
 /// Guards against a process that takes one of two replicas for enough since it has never seen the
 /// primary.
 #[test]
