Drop no commit holder by positions from before a suspension

Callers saw: nothing; found when the record of commit holders was read again. Cause: a VM that was suspended after the members had reported their positions could drop one that had been back meanwhile and had confirmed commits. Change: a suspension ends the check, as it ends the replacement of a primary; it begins again after the timeout.

--- a/crates/pool/src/commit_holders.rs
+++ b/crates/pool/src/commit_holders.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Forgets what members have reported, after which ones that had gone may have been back.
+    pub(crate) fn forget_positions(&mut self) {
+        self.departure = None;
+    }
+
     /// Returns the members that have gone and hold nothing that the others lack.
     fn dispensable(&self, confirming: usize) -> Option<&BTreeSet<MemberId>> {
         let departure = self.departure.as_ref()?;
--- a/crates/pool/tests/commit_holders.rs
+++ b/crates/pool/tests/commit_holders.rs
@@ -226,6 +226,20 @@
     assert_eq!(promoted_member(&harness), Some("m2".to_owned()));
 }
 
+/// Guards against dropping a member by positions from before a suspension, in which it may have been back
+/// and have confirmed commits.
+#[test]
+fn positions_from_before_a_suspension_do_not_count() {
+    let all = holders(&["m1", "m2", "m3"]);
+    let mut harness = start(vec![member(PRIMARY, true), member("m2", false)], Some(all));
+    // The replica follows too late for its position to count before the suspension.
+    assert!(run(&mut harness, 4_000, &[("m1", true, 20), ("m2", false, 10)]).is_empty());
+    harness.suspend(10_000);
+    assert!(run(&mut harness, 2_000, &[("m1", true, 30), ("m2", false, 25)]).is_empty());
+    let written = run(&mut harness, 4_000, &[("m1", true, 30), ("m2", false, 30)]);
+    assert_eq!(written, [holders(&["m1", "m2"])]);
+}
+
 /// Guards against dropping a member that has confirmed commits which the other replica lacks.
 #[test]
 fn lost_member_counts_while_the_others_may_lack_its_commits() {
