--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -24,10 +24,21 @@
 BEAT_S = 1.2
 
 
+_tasks = set()
+
+
 def now():
     return time.monotonic()
 
 
+def start(coroutine):
+    """Runs a coroutine in the background. The event loop itself keeps no reference to its tasks."""
+    task = asyncio.ensure_future(coroutine)
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
+    return task
+
+
 class Record:
     """Writes what happened to record.txt, with seconds since the start."""
 
@@ -205,7 +216,7 @@
     async def start(self):
         self.port = free_ports(1)
         self.server = await asyncio.start_server(self.connection, HOST, self.port, limit=2 << 20)
-        asyncio.ensure_future(self.beat())
+        start(self.beat())
 
     def report(self):
         if not self.is_registered:
@@ -288,7 +299,7 @@
             return [], "DONE -"
         if word == "PREPARE":
             name, access, shape = rest.split(" ", 2)
-            session["prepared"][name] = (access, shape)
+            session["prepared"][name] = (access, shape if self.group.keeps_shapes else "")
             return [], "DONE -"
         if word == "CLOSE":
             session["prepared"].pop(rest, None)
@@ -354,6 +365,7 @@
         self.reads = []  # (statement id, member, applied, time)
         self.promotions = []  # (time, member id, log)
         self.fence = 0
+        self.keeps_shapes = True
         self.record = lambda text: None
         self.fault = lambda member, session, query_id, word: None
         self.work_s = lambda word: 0.002
@@ -451,10 +463,22 @@
     return await serve_http(handle)
 
 
+_vms = []
+
+
+def end_all(*_):
+    """Ends all processes that were started, also when the script itself is stopped."""
+    for vm in _vms:
+        vm.end()
+    os._exit(2)
+
+
 class Vm:
     """One process of lycheedoor, started with the run command of the deploy file."""
 
-    def __init__(self, name, zone, store_port, cloud_port, folder, sync=False):
+    def __init__(self, name, zone, store_port, cloud_port, folder, memory_mb=260):
+        _vms.append(self)
+        self.process = None
         self.name, self.folder = name, Path(folder)
         self.front = free_ports(4)
         self.peers = self.front + 2
@@ -478,7 +502,7 @@
 [limits]
 cpuShare = 0.25
 cores = 1
-memoryMb = 260
+memoryMb = {memory_mb}
 maxFds = 4300
 [bounds]
 contactMs = 4000
@@ -518,6 +542,8 @@
             self.process.send_signal(number)
 
     def end(self):
+        if self.process is None:
+            return
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
@@ -541,6 +567,70 @@
             await asyncio.sleep(0.05)
 
 
+class Machine:
+    """Ends a process that exceeds the memory of its machine and starts it again, as the platform does."""
+
+    restart_s = 1.0
+
+    def __init__(self, vm, memory_mb, record):
+        self.vm, self.memory_mb, self.record = vm, memory_mb, record
+        self.limit_bytes = memory_mb * 1024 * 1024
+        self.state = {"peak": 0, "kills": 0, "exits": 0, "done": 0}
+
+    def resident_bytes(self):
+        """Returns the resident memory of the process, or 0 if it has ended."""
+        try:
+            for line in Path(f"/proc/{self.vm.process.pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) * 1024
+        except OSError:
+            pass
+        return 0
+
+    def ends(self):
+        return self.state["kills"] + self.state["exits"]
+
+    def __str__(self):
+        return f"{self.vm.name} {self.resident_bytes() / 1e6:.1f} MB"
+
+    async def run(self):
+        state, vm = self.state, self.vm
+        while True:
+            used = self.resident_bytes()
+            state["peak"] = max(state["peak"], used)
+            ended = vm.process.poll()
+            if ended is not None:
+                state["exits"] += 1
+                self.record(f"{vm.name} has ended by itself with {ended}")
+            elif used > self.limit_bytes:
+                state["kills"] += 1
+                self.record(f"{vm.name} uses {used / 1e6:.1f} MB of {self.memory_mb} MB and is killed; "
+                            f"{state['done']} operations since its start")
+                vm.end()
+            else:
+                await asyncio.sleep(0.05)
+                continue
+            await asyncio.sleep(self.restart_s)
+            state["done"] = 0
+            vm.start()
+
+
+def memory_result(machines, wanted_ends, counts, record):
+    """Writes the end of the record, prints the result and returns the exit code."""
+    for machine in machines:
+        state = machine.state
+        record(f"{machine.vm.name}: {state['kills']} times over its memory, {state['exits']} other ends, "
+               f"peak {state['peak'] / 1e6:.1f} MB")
+    record(f"operations: {counts}")
+    record.close()
+    ends = [machine.ends() for machine in machines]
+    peaks = ", ".join(f"{machine.state['peak'] / 1e6:.0f} MB" for machine in machines)
+    print(f"ends by themselves: {ends}, peaks: {peaks}, operations: {counts}")
+    if counts.get("DONE", 0) < 100:
+        return 2
+    return 1 if all(end >= wanted_ends for end in ends) else 0
+
+
 class Caller:
     """A session of a client. `query` returns rows, result, state; raises if the connection ends."""
 
@@ -562,6 +652,15 @@
     async def query(self, text, query_id=None):
         query_id = query_id or self.new_id()
         self.writer.write(f"QUERY {query_id} {text}\r\n".encode())
+        return await self.answer()
+
+    async def query_ahead(self, texts):
+        """Sends several statements at once and returns their results."""
+        lines = (f"QUERY {self.new_id()} {text}\r\n" for text in texts)
+        self.writer.write("".join(lines).encode())
+        return [(await self.answer())[1] for _ in texts]
+
+    async def answer(self):
         rows, result = [], None
         while True:
             line = (await self.reader.readuntil(b"\r\n")).decode()[:-2]
@@ -608,6 +707,8 @@
 def run(main):
     """Runs a case and exits with its result, without the noise of connections that are still open."""
     code = 2
+    signal.signal(signal.SIGTERM, end_all)
+    signal.signal(signal.SIGINT, end_all)
     try:
         code = asyncio.run(_guarded(main))
     finally:
