--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -266,8 +266,7 @@
                 rows, result = await self.run(session, query_id, text)
                 out = "".join(f"ROW {row}\r\n" for row in rows)
                 out += f"{result}\r\nREADY {session['state']} {self.position()}\r\n"
-                writer.write(out.encode())
-                await writer.drain()
+                await self.send(writer, out.encode())
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -275,6 +274,16 @@
             self.links.discard(writer)
             writer.close()
 
+    async def send(self, writer, out):
+        """Sends an answer, over the link that the group's members have for each connection."""
+        rate = self.group.link_bytes_per_s
+        piece = len(out) if rate is None else 16 * 1024
+        for first in range(0, len(out), piece):
+            writer.write(out[first:first + piece])
+            await writer.drain()
+            if rate is not None and len(out) > piece:
+                await asyncio.sleep(piece / rate)
+
     async def run(self, session, query_id, text):
         word, _, rest = text.partition(" ")
         if word == "AFTER":
@@ -366,6 +375,7 @@
         self.promotions = []  # (time, member id, log)
         self.fence = 0
         self.keeps_shapes = True
+        self.link_bytes_per_s = None
         self.record = lambda text: None
         self.fault = lambda member, session, query_id, word: None
         self.work_s = lambda word: 0.002
