--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -218,6 +218,20 @@
         self.server = await asyncio.start_server(self.connection, HOST, self.port, limit=2 << 20)
         start(self.beat())
 
+    def crash(self):
+        """Ends the member's process: its connections are reset, and it reports nothing."""
+        self.is_registered = False
+        self.server.close()
+        for writer in list(self.links):
+            writer.transport.abort()
+        self.held_term = 0
+
+    async def come_back(self):
+        """Starts the member again at its address, with its log."""
+        self.server = await asyncio.start_server(self.connection, HOST, self.port, limit=2 << 20)
+        self.is_registered, self.born = True, int(time.time() * 1000)
+        self.report()
+
     def report(self):
         if not self.is_registered:
             return
@@ -462,8 +476,11 @@
             other.report()
 
 
-async def start_cloud(groups, record):
+async def start_cloud(groups, record, is_down=lambda: False):
     async def handle(_method, path, _query, fields, body):
+        if is_down():
+            record(f"POST {path} {body} token {fields['fence-token']}: 503")
+            return 503, {}
         if path != "/promote":
             return 404, {}
         group = groups.get(body["backend"])
