--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,8 @@
-"""A few sessions with many small values keep the event loop of a VM from everything else."""
+"""A primary with a confirming replica is down for two seconds while no member can be promoted."""
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -11,131 +12,119 @@
 from standin import now
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-VALUES = 28_000 if TROUBLE else 28
-AHEAD = 14  # requests that a session sends without waiting, while it sets its values
-HEAVY_CALLERS = 8
-OTHER_CALLERS = 4
-PROBE_TIMEOUT_S = 1.0
+CALLERS = 6
 DEADLINE_S = 3.0
-RUN_S = 40
-MISSES = 2  # successive probes, after which the platform sends no new connections
-MIN_SHARE = 0.05  # of the statements that were served a second before
+PRIMARY_DOWN_S = 2.0
+CLOUD_DOWN_S = 3.0
+FINAL_DOWN_S = 1.0
+RECOVER_S = 12.0
+MEASURED_S = 10.0
 
 
-async def heavy_caller(vm, ready, counts, begin):
-    """Sets many values, then changes one of them before each statement."""
-    session = await standin.Caller().open(vm.front, "numbers", "key-1")
-    for first in range(0, VALUES, AHEAD):
-        texts = [f"SET v{number} x" for number in range(first, min(first + AHEAD, VALUES))]
-        if not all(result.startswith("DONE") for result in await session.query_ahead(texts)):
-            raise RuntimeError("a value was not accepted")
-    ready.append(session)
-    await begin.wait()
-    changed = 0
-    while True:
-        changed += 1
-        await session.query(f"SET v{changed % VALUES} y{changed}")
-        _, result, _ = await session.query("READ 1a4")
-        word = "DONE" if result.startswith("DONE") else result.split(" ")[1]
-        counts[word] = counts.get(word, 0) + 1
-
-
-async def other_caller(number, vm, served, record):
-    """Reads every 50 ms. A statement without an answer within the deadline ends the session."""
+async def caller(vm, requests):
+    """Sends single writes, one after the other. An operation may take until its deadline."""
     while True:
+        sent = now()
+        request = {"sent": sent, "served": False}
+        requests.append(request)
         session = None
         try:
-            session = await asyncio.wait_for(standin.Caller().open(vm.front, "numbers", "key-2"), 2)
+            session = await asyncio.wait_for(standin.Caller().open(vm.front, "numbers", "key-1"), 2)
             while True:
-                sent = now()
-                _, result, _ = await asyncio.wait_for(session.query("READ 1a4"), DEADLINE_S)
-                if result.startswith("DONE"):
-                    served.append(now())
-                else:
-                    record(f"caller {number}: {result} after {now() - sent:.2f} s")
+                _, result, _ = await asyncio.wait_for(session.query("WRITE 1a4 xkqpwnzd"), DEADLINE_S)
+                request["result"] = " ".join(result.split(" ")[:2 if result.startswith("ERROR") else 1])
+                request["served"] = result.startswith("DONE")
                 await asyncio.sleep(0.05)
+                request = {"sent": now(), "served": False}
+                requests.append(request)
         except (ConnectionError, asyncio.IncompleteReadError, OSError, asyncio.TimeoutError) as error:
-            record(f"caller {number}: no answer in time ({type(error).__name__})")
+            request["result"] = type(error).__name__
         if session:
             session.close()
+        await asyncio.sleep(0.2)
 
 
-async def probe(vm, served, record):
-    """Asks once a second whether the VM is ready, as the platform does."""
-    while True:
-        asked = now()
-        try:
-            is_ready = await asyncio.wait_for(vm.is_ready(), PROBE_TIMEOUT_S)
-        except asyncio.TimeoutError:
-            is_ready = False
-        if is_ready:
-            served.append(now())
-        else:
-            record("the readiness probe is not answered")
-        await asyncio.sleep(max(0, asked + 1 - now()))
-
-
-def processor_s(vm):
-    fields = Path(f"/proc/{vm.process.pid}/stat").read_text().rsplit(") ", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / 100
-
-
-def longest_gap(times, begin, end):
-    marks = [begin, *(at for at in times if begin <= at <= end), end]
-    return max(later - earlier for earlier, later in zip(marks, marks[1:]))
+def served(requests, begin, end, record, name):
+    chosen = [request for request in requests if begin <= request["sent"] < end]
+    results = {}
+    for request in chosen:
+        result = request.get("result", "no answer")
+        results[result] = results.get(result, 0) + 1
+    count = sum(request["served"] for request in chosen)
+    record(f"{name}: {len(chosen)} requests sent, {count} served; {results}")
+    return count / max(len(chosen), 1), len(chosen)
 
 
 async def main():
     record = standin.Record(FOLDER)
-    counts, ready = {}, []
     with standin.temporary_folder() as folder:
         store = standin.Store()
         await store.start()
-        group = standin.Group(store, "ledger1", slots=5)
+        group = standin.Group(store, "ledger1", slots=5, sync_replicas=1)
         group.record = record
-        group.work_s = lambda word: 0.002
-        for name, role in (("a", "primary"), ("b", "replica"), ("c", "replica")):
-            await group.add(f"i-{name}", "z1", role)
-        cloud = await standin.start_cloud({group.name: group}, record)
-        store.put("config", "main", standin.configuration(
-            7, [("numbers", "primary", "ledger1", 1000, 0)], [(group, 79)],
-            [("tenant1", "key-1", 1000), ("tenant2", "key-2", 1000)]))
-        vm = standin.Vm("front-1", "z1", store.port, cloud, folder)
-        vm.start()
+        primary = await group.add("i-a", "z1", "primary")
+        await group.add("i-b", "z1", "replica")
+        await group.add("i-c", "z1", "replica")
+        outage = {"until": 0.0}
+        cloud = await standin.start_cloud({group.name: group}, record, lambda: now() < outage["until"])
+
+        def configure(version):
+            store.put("config", "main", standin.configuration(
+                version, [("numbers", "primary", group.name, 1000, 0)], [(group, 21)], [("tenant1", "key-1", 1000)]))
+
+        configure(7)
+        vms = [standin.Vm(f"front-{n}", "z1", store.port, cloud, folder) for n in (1, 2)]
+        for vm in vms:
+            vm.start()
+        requests = []
         try:
-            await vm.wait_ready()
-            await asyncio.sleep(3)
-            begin = asyncio.Event()
-            heavy = [standin.start(heavy_caller(vm, ready, counts, begin)) for _ in range(HEAVY_CALLERS)]
-            while len(ready) < HEAVY_CALLERS:
-                if any(task.done() for task in heavy):
-                    raise RuntimeError("a session could not set its values")
-                await asyncio.sleep(0.1)
-            record(f"{HEAVY_CALLERS} sessions have {VALUES} values each")
-            probes, statements = [], []
-            standin.start(probe(vm, probes, record))
-            for number in range(OTHER_CALLERS):
-                standin.start(other_caller(number, vm, statements, record))
+            for vm in vms:
+                await vm.wait_ready()
             await asyncio.sleep(3)
-            record(f"the sessions begin to run statements; {len(statements)} of the others were served in 3 s")
-            usual = len(statements) / 3 * RUN_S
-            begin_at, used = now(), processor_s(vm)
-            begin.set()
-            await asyncio.sleep(RUN_S)
-            end_at, used = now(), processor_s(vm) - used
+            begin = now()
+            for number in range(CALLERS):
+                standin.start(caller(vms[number % len(vms)], requests))
+            await asyncio.sleep(8)
+            trouble = now()
+            if TROUBLE:
+                outage["until"] = now() + CLOUD_DOWN_S
+                record(f"{primary.id}, the primary, crashes; promotions are answered with 503 for {CLOUD_DOWN_S} s")
+                primary.crash()
+                await asyncio.sleep(PRIMARY_DOWN_S)
+                await primary.come_back()
+                record(f"{primary.id} is back with its log, as {primary.role}")
+                await asyncio.sleep(CLOUD_DOWN_S - PRIMARY_DOWN_S)
+                record("promotions are possible again")
+            await asyncio.sleep(6)
+            final = now()
+            configure(8)
+            record("version 8 is acknowledged; all processes are killed")
+            for vm in vms:
+                vm.signal(signal.SIGKILL)
+                vm.process.wait()
+            await asyncio.sleep(FINAL_DOWN_S)
+            for vm in vms:
+                vm.start()
+            for vm in vms:
+                await vm.wait_ready()
+            back = now()
+            record("all processes are ready again")
+            await asyncio.sleep(RECOVER_S + MEASURED_S + DEADLINE_S)
         finally:
-            vm.end()
-    probe_gap, statement_gap = (longest_gap(times, begin_at, end_at) for times in (probes, statements))
-    answered = sum(begin_at <= at <= end_at for at in statements)
-    record(f"longest time without an answered probe {probe_gap:.1f} s, without a served statement of the other "
-           f"callers {statement_gap:.1f} s; {answered} of these served; {used:.1f} s of processor time")
-    record(f"statements of the sessions with many values: {counts}")
+            for vm in vms:
+                vm.end()
+    before, sent_before = served(requests, begin, trouble, record, "before the trouble")
+    served(requests, trouble, final, record, "from the trouble to the final fault")
+    after, sent_after = served(requests, back + RECOVER_S, back + RECOVER_S + MEASURED_S, record, "after recoverS")
+    for member in group.members:
+        record(f"{member.id}: {member.role}, term {member.term}, held {member.held_term}, log up to {len(member.log)}")
+    record(f"{len(group.promotions)} promotions, {len(group.commits)} commits acknowledged")
     record.close()
-    share = answered / usual
-    print(f"served {answered} statements of the other callers, {share:.1%} of the usual number; longest time without "
-          f"one {statement_gap:.1f} s, without an answered probe {probe_gap:.1f} s; processor time {used:.1f} s of {RUN_S} s")
-    hangs = share < MIN_SHARE and probe_gap > MISSES + 1 and used >= 0.9 * RUN_S
-    return 1 if hangs else 0
+    print(f"served before: {before:.1%} of {sent_before}, served later than recoverS after the machines are back: "
+          f"{after:.1%} of {sent_after}")
+    if sent_before < 100 or before < 0.25 or not sent_after:
+        return 2
+    return 1 if after < 0.25 else 0
 
 
 if __name__ == "__main__":
