Decode the term of a pause from the status of a member

The status row names the term up to which a member receives nothing. It was skipped, so nothing in the program could tell a paused replica from another one. Nothing uses it yet.

The members of the tests answer a pause as the protocol says: they report it until a promotion.

--- a/crates/pool/src/statement.rs
+++ b/crates/pool/src/statement.rs
@@ -211,6 +211,16 @@
     pub term: Term,
     /// The newest position that the member has received.
     pub received: Position,
+    /// The term of the pause in force, up to which the member receives no commits; `None` if it has
+    /// not been paused.
+    pub paused_term: Option<Term>,
+}
+
+impl MemberStatus {
+    /// Returns whether the member receives no commits until one of a later term is promoted.
+    pub fn is_paused(&self) -> bool {
+        !self.is_primary && self.paused_term.is_some_and(|paused| paused > self.term)
+    }
 }
 
 /// The reason why a member returned an error.
--- a/crates/pool/tests/support/dead_primary.rs
+++ b/crates/pool/tests/support/dead_primary.rs
@@ -63,19 +63,19 @@
         .filter_map(|action| match action {
             PoolAction::SendPeer {
                 to,
-                message: PoolMessage::AskContact { .. },
+                message: PoolMessage::AskContact { member, .. },
                 ..
-            } => Some(to.clone()),
+            } => Some((to.clone(), member.clone())),
             _ => None,
         });
-    let asked: Vec<VmId> = requests.collect();
+    let asked: Vec<(VmId, MemberId)> = requests.collect();
     harness
         .other_actions
         .retain(|action| !matches!(action, PoolAction::SendPeer { .. }));
-    for from in &asked {
+    for (from, member) in &asked {
         let message = PoolMessage::Contact {
             group: GroupId::from(GROUP),
-            member: MemberId::from(PRIMARY),
+            member: member.clone(),
             heard_ms,
         };
         harness.event(PoolEvent::PeerSent {
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -89,6 +89,10 @@
     pub(crate) era: u64,
     /// The latest revision of the store.
     pub(crate) revision: u64,
+    /// The term that all members are in.
+    pub(crate) term: Term,
+    /// The members that have been paused, and the term that the pause names.
+    pub(crate) paused: BTreeMap<String, Term>,
     next_caller: u64,
 }
 
@@ -239,6 +243,8 @@
             other_actions: Vec::new(),
             era: 0,
             revision: 10,
+            term: Term(1),
+            paused: BTreeMap::new(),
             next_caller: 0,
         };
         harness.event(PoolEvent::DeadlineReached);
@@ -450,14 +456,21 @@
     }
 
     /// Removes and returns the oldest unanswered command of the first connection to a member that
-    /// has one.
+    /// has one. A command that pauses the member takes effect.
     pub(crate) fn take_command(&mut self, member: &str) -> Option<(ConnectionId, MemberCommand)> {
         let mut links = self
             .links
             .iter_mut()
             .filter(|(_, link)| link.member == member);
         let (id, link) = links.find(|(_, link)| !link.sent.is_empty())?;
-        Some((*id, link.sent.remove(0)))
+        let command = link.sent.remove(0);
+        match command {
+            MemberCommand::Pause(term) if term > self.term => {
+                self.paused.insert(member.to_owned(), term);
+            }
+            _ => {}
+        }
+        Some((*id, command))
     }
 
     /// Answers a command with success; `number` is the member's log position.
@@ -478,10 +491,13 @@
 
     /// Answers a command that asks for the member's status.
     pub(crate) fn report_status(&mut self, link: ConnectionId, is_primary: bool, received: u64) {
+        let member = self.links.get(&link).map(|link| &link.member);
+        let paused_term = member.and_then(|member| self.paused.get(member).copied());
         let status = MemberStatus {
             is_primary,
-            term: Term(1),
+            term: self.term,
             received: position(received),
+            paused_term: paused_term.filter(|_| !is_primary),
         };
         let answer = MemberAnswer {
             rows: Bytes::new(),
