Let a primary that has stepped down be promoted again

A primary that has stepped down for an attempt which then ended was left out of each later one, since the VMs still took it for the primary. With its replicas down nobody could be promoted, although it was up and had every commit: callers got no write served until a replica was back.

A member that has reported that it is not the primary is now asked and may be promoted like a replica. Its own status settles whether it is: one that reports that it is the primary ends the suspicion, one that reports the opposite begins it, also when no statement is sent. A candidate has all confirmed commits if it has received as much as all members but as many as confirm; a draining member with a longer log no longer prevents the promotion.

The test failed before: no promotion in 8 s with and without a confirming replica. It plays a small group of members that answer as the protocol says.

--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -303,11 +303,19 @@
     }
 }
 
+/// Returns whether a member may be the primary at present. One that has reported that it is not is
+/// a replica, although it may be about to become the primary.
+fn is_presumed_primary(group: &Group, id: &MemberId, member: &Member) -> bool {
+    group.primary.as_ref() == Some(id) && member.not_primary_since.is_none()
+}
+
 /// Returns the members other than the primary that can report their received position. Draining
 /// members also confirm commits, so they are included although they cannot become the primary.
 fn reachable_replicas(now: MonoTime, group: &Group) -> Vec<MemberId> {
     let can_answer = |id: &MemberId, member: &Member| {
-        group.primary.as_ref() != Some(id) && member.down_since.is_none() && !member.is_gone(now)
+        !is_presumed_primary(group, id, member)
+            && member.down_since.is_none()
+            && !member.is_gone(now)
     };
     let members = group.members.iter();
     let members = members.filter(|(id, member)| can_answer(id, member));
@@ -321,7 +329,7 @@
     evacuated: &std::collections::BTreeSet<DataCentreId>,
 ) -> Vec<MemberId> {
     let may_become_primary = |id: &MemberId, member: &Member| {
-        group.primary.as_ref() != Some(id)
+        !is_presumed_primary(group, id, member)
             && member.draining_since.is_none()
             && member.missing_since.is_none()
             && member.down_since.is_none()
--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -7,6 +7,7 @@
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::Position;
 use lycheedoor_core::types::VmId;
 
 use crate::event::PoolAction;
@@ -140,15 +141,15 @@
             (FailoverCause::Planned, Some(last)) => newest(&candidates) >= Some(last),
         };
         // A confirmed commit is in the log of the primary and of at least `sync_replicas` other
-        // members. So every confirmed commit is in the log of some member that has answered, as
-        // long as no more than `sync_replicas` members are missing.
+        // members, so of any members that are all but `sync_replicas`, one has it.
+        let has_confirmed = |position: Position| {
+            let covered = received.values().filter(|other| **other <= position);
+            covered.count().saturating_add(confirming) >= commit_holders
+        };
         let keeps_confirmed = match (sync_replicas, cause) {
             (0, _) => true,
             (_, FailoverCause::Planned) => has_final_position,
-            (_, FailoverCause::Lost) => {
-                answered.saturating_add(confirming) >= commit_holders
-                    && newest(&candidates) >= newest(&queried)
-            }
+            (_, FailoverCause::Lost) => newest(&candidates).is_some_and(has_confirmed),
         };
         let is_timed_out = now >= *deadline;
         if keeps_confirmed
@@ -258,6 +259,19 @@
             group.adopt_primary(now, &member);
             return self.refresh_group(now, &group_id, actions);
         }
+        let Some(status) = status else {
+            return;
+        };
+        let cause = group.failover.pending_cause.map(|(cause, _)| cause);
+        match (is_primary, status.is_primary) {
+            (true, true) => group.confirm_primary(&member),
+            // In a planned replacement the primary has stepped down, and replicas still receive its
+            // last commits.
+            (true, false) if cause != Some(FailoverCause::Planned) => {
+                group.note_not_primary(now, &member);
+            }
+            _ => {}
+        }
         let Phase::QueryingMembers {
             received,
             step_down_position,
@@ -266,12 +280,9 @@
         else {
             return;
         };
-        let Some(status) = status else {
-            return;
-        };
-        if is_primary && !status.is_primary {
+        if is_primary && !status.is_primary && cause == Some(FailoverCause::Planned) {
             *step_down_position = Some(status.received);
-        } else {
+        } else if !status.is_primary {
             received.insert(member, status.received);
         }
         self.run_failover(now, &group_id, actions);
--- a/crates/pool/tests/support/dead_primary.rs
+++ b/crates/pool/tests/support/dead_primary.rs
@@ -122,6 +122,17 @@
     });
 }
 
+/// Grants each write to the record of the group with the next revision of the store.
+pub(crate) fn grant_writes(harness: &mut PoolHarness) {
+    for _ in 0..claims(harness) {
+        harness.revision += 1;
+        let written = harness.store_revision();
+        grant_claim(harness, written);
+    }
+    let is_other = |action: &PoolAction| !matches!(action, PoolAction::WriteRecord { name, .. } if name.starts_with("group."));
+    harness.other_actions.retain(is_other);
+}
+
 /// Returns the claim that the VM has written last.
 pub(crate) fn latest_claim(harness: &PoolHarness) -> Option<FleetRecord> {
     let mut actions = harness.other_actions.iter().rev();
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -9,6 +9,7 @@
 )]
 
 pub(crate) mod dead_primary;
+pub(crate) mod fake_group;
 pub(crate) mod pair;
 
 use std::collections::BTreeMap;
