Promote a member when replicas stay paused after a failed attempt

Cause: an attempt pauses the replicas before it compares their positions, and nothing but a promotion ends the pause. An attempt that ended without one (the primary was back, the VM was killed, overtaken or stopping) left it, and no process looked for it: the primary answers, so nobody replaces it. A pause that takes effect late does the same. Logs and the status of members show both replicas held at the next term and no request after the primary was back, which rules out a lost promotion and a wrong choice of the primary.

Change: with confirming replicas two VMs ask the members every 2 s whether one is paused, others when a write has no answer for 500 ms. A replica that has been paused for 500 ms while the primary is up is a cause to replace the primary: it steps down, and the member with all confirmed commits is promoted, mostly the same one. The command that resumes a replica is not used: it names no term, so one that arrives late would end the pause of a later attempt whose positions have been read.

The primary's answer counts for the commits that must be covered. Without it a primary that is back under another name could never end a pause: its former name counts as a member that may have confirmed commits.

--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -10,6 +10,7 @@
 //! so that the replicas can receive its last commits before one of them is promoted.
 
 mod claim;
+mod pauses;
 mod promotion;
 
 use std::collections::BTreeMap;
@@ -32,6 +33,8 @@
 use crate::session::Stage;
 use crate::store_revision::StoreRevision;
 
+pub(crate) use pauses::PausedReplicas;
+
 /// How long a primary has to be unreachable before it is replaced. This leaves time for a second
 /// connection attempt, so that a single reset connection does not cause a failover.
 const PRIMARY_DOWN_TIMEOUT: Duration = Duration::from_millis(200);
@@ -61,6 +64,8 @@
 pub(crate) enum FailoverCause {
     /// The primary is unreachable or reports that it is not the primary, or no primary is known.
     Lost,
+    /// A replica is paused, and no attempt is going to end the pause.
+    Paused,
     /// The primary is draining or its data centre is taken out of service, so it can step down.
     Planned,
 }
@@ -108,6 +113,12 @@
         self.pending_cause.is_some()
     }
 
+    /// Returns whether an attempt because of a paused replica is in progress.
+    fn is_ending_pauses(&self) -> bool {
+        matches!(self.pending_cause, Some((FailoverCause::Paused, _)))
+            && !matches!(self.phase, Phase::Idle)
+    }
+
     /// Records a claim that was read from the store. A newer claim of another VM ends this VM's own
     /// attempt.
     pub(crate) fn claim_seen(&mut self, now: MonoTime, revision: StoreRevision, is_own: bool) {
@@ -172,6 +183,7 @@
     ) {
         self.sample_when_read(now, id, actions);
         self.search_primary(now, id, actions);
+        self.check_pauses(now, id, actions);
         let pending_cause = self.failover_cause(now, id);
         let rank = match pending_cause {
             Some(_) => self.own_rank(id),
@@ -245,8 +257,16 @@
             .not_primary_since
             .is_some_and(|since| now.since(since) >= NO_PRIMARY_TIMEOUT);
         let is_evacuated = self.evacuated.contains(&primary.entry.data_centre);
+        // The primary steps down in such an attempt, so it no longer answers as one.
+        let is_any_paused = || {
+            self.confirming_replicas(id) > 0
+                && (group.has_answering_primary() || group.failover.is_ending_pauses())
+                && group.pauses.abandoned(now).is_some()
+        };
         if is_down || is_not_primary {
             Some(FailoverCause::Lost)
+        } else if is_any_paused() {
+            Some(FailoverCause::Paused)
         } else if primary.draining_since.is_some() || is_evacuated {
             Some(FailoverCause::Planned)
         } else {
@@ -280,6 +300,11 @@
         let since = group.failover.pending_cause.map_or(now, |(_, since)| since);
         match (cause, primary) {
             (FailoverCause::Planned, _) => self.claim_group(now, id, actions),
+            (FailoverCause::Paused, _) => {
+                let paused = group.pauses.abandoned(now).cloned();
+                report_step(id, "replica is paused for nothing", paused, None, actions);
+                self.claim_group(now, id, actions);
+            }
             (FailoverCause::Lost, None) if now.since(since) >= NO_PRIMARY_TIMEOUT => {
                 self.claim_group(now, id, actions);
             }
--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -16,6 +16,7 @@
 use crate::failover::FailoverCause;
 use crate::failover::Phase;
 use crate::failover::candidates;
+use crate::failover::is_presumed_primary;
 use crate::failover::reachable_replicas;
 use crate::failover::report_step;
 use crate::link::Link;
@@ -92,25 +93,28 @@
         cause: FailoverCause,
         actions: &mut Vec<PoolAction>,
     ) {
-        let sync_replicas = self
-            .config
-            .groups
-            .get(id)
-            .map_or(0, |rule| rule.sync_replicas);
+        let confirming = self.confirming_replicas(id);
+        let must_pause = confirming > 0 && cause != FailoverCause::Planned;
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
         let candidates = candidates(now, group, &self.evacuated);
         let commit_holders = group.commit_holders(now);
-        let queried = match (sync_replicas, cause) {
-            (0, _) | (_, FailoverCause::Planned) => candidates.clone(),
-            (_, FailoverCause::Lost) => reachable_replicas(now, group),
+        let queried = match must_pause {
+            true => reachable_replicas(now, group),
+            false => candidates.clone(),
         };
-        let confirming = usize::try_from(sync_replicas).unwrap_or(usize::MAX);
-        let can_keep_confirmed = sync_replicas == 0
-            || cause == FailoverCause::Planned
-            || queried.len().saturating_add(confirming) >= commit_holders;
-        if !can_keep_confirmed {
+        let primary = group.primary.clone().filter(|primary| {
+            let member = group.members.get(primary);
+            let is_presumed = |member| is_presumed_primary(group, primary, member);
+            match cause {
+                FailoverCause::Lost => false,
+                FailoverCause::Paused => member.is_some_and(is_presumed),
+                FailoverCause::Planned => true,
+            }
+        });
+        let asked = queried.len() + usize::from(primary.is_some());
+        if must_pause && asked.saturating_add(confirming) < commit_holders {
             // A replica that is paused for nothing confirms no commit when the primary is back.
             let step = "too few members run to have all commits";
             report_step(id, step, group.primary.clone(), None, actions);
@@ -134,22 +138,25 @@
             .iter()
             .filter(|member| received.contains_key(*member));
         let answered = answered.count();
-        let is_complete = answered == queried.len() && answered > 0;
+        let awaits_primary = cause == FailoverCause::Paused && primary.is_some();
+        let is_complete = answered == queried.len() && answered > 0 && !awaits_primary;
         let has_final_position = match (cause, *step_down_position) {
-            (FailoverCause::Lost, _) => true,
+            (FailoverCause::Lost | FailoverCause::Paused, _) => true,
             (FailoverCause::Planned, None) => false,
             (FailoverCause::Planned, Some(last)) => newest(&candidates) >= Some(last),
         };
-        // A confirmed commit is in the log of the primary and of at least `sync_replicas` other
-        // members, so of any members that are all but `sync_replicas`, one has it.
+        // A confirmed commit is in the log of the primary and of at least `confirming` other members,
+        // so of any members that are all but `confirming`, one has it.
         let has_confirmed = |position: Position| {
             let covered = received.values().filter(|other| **other <= position);
             covered.count().saturating_add(confirming) >= commit_holders
         };
-        let keeps_confirmed = match (sync_replicas, cause) {
+        let keeps_confirmed = match (confirming, cause) {
             (0, _) => true,
             (_, FailoverCause::Planned) => has_final_position,
-            (_, FailoverCause::Lost) => newest(&candidates).is_some_and(has_confirmed),
+            (_, FailoverCause::Lost | FailoverCause::Paused) => {
+                newest(&candidates).is_some_and(has_confirmed)
+            }
         };
         let is_timed_out = now >= *deadline;
         if keeps_confirmed
@@ -168,11 +175,6 @@
         if now >= *next_query_at {
             *next_query_at = now + MEMBER_QUERY_INTERVAL;
             let term = group.highest_term().next();
-            let primary = group
-                .primary
-                .clone()
-                .filter(|_| cause == FailoverCause::Planned);
-            let must_pause = sync_replicas > 0 && cause == FailoverCause::Lost;
             for member in queried {
                 let command = if must_pause {
                     MemberCommand::Pause(term)
@@ -243,7 +245,7 @@
         };
         let is_primary = group.primary.as_ref() == Some(&member);
         if let (Some(status), Ok(_)) = (answer.status, &answer.result) {
-            group.holders.note_position(&member, status);
+            group.note_status(now, &member, status);
         }
         let status = answer.status.filter(|_| answer.result.is_ok());
         let is_unusable = |primary: &MemberId| {
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -15,9 +15,11 @@
 
 use crate::commit_holders::CommitHolders;
 use crate::failover::Failover;
+use crate::failover::PausedReplicas;
 use crate::member::Member;
 use crate::primary_position::SentRequest;
 use crate::room::MemberRoom;
+use crate::statement::MemberStatus;
 use crate::store_revision::StoreRevision;
 
 /// The number of samples of the primary's position that are kept. At ten samples a second they
@@ -57,6 +59,7 @@
     /// Callers whose statements wait for a connection, in the order in which they are served.
     pub(crate) waiting: Vec<CallerId>,
     pub(crate) failover: Failover,
+    pub(crate) pauses: PausedReplicas,
     pub(crate) holders: CommitHolders,
     pub(crate) is_sampling: bool,
     /// The latest request to another VM for a position of the primary, unless it was answered.
@@ -113,6 +116,7 @@
         {
             self.latest_promotion = Some((member, claim));
             self.has_new_promotion = true;
+            self.pauses.forget();
         }
     }
 
@@ -146,6 +150,7 @@
         }
         self.primary = member;
         self.primary_reached_by = None;
+        self.pauses.forget();
         let primary = self
             .primary
             .as_ref()
@@ -172,6 +177,12 @@
             .map(|(id, revision)| (id.clone(), revision))
     }
 
+    /// Records the status that a member has reported.
+    pub(crate) fn note_status(&mut self, now: MonoTime, member: &MemberId, status: MemberStatus) {
+        self.pauses.note_status(now, member, status);
+        self.holders.note_position(member, status);
+    }
+
     /// Records that the presumed primary reported that it is not the primary. It stays the presumed
     /// primary: a promoted member takes over only some hundred milliseconds after the promotion was
     /// accepted.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -353,6 +353,7 @@
         }
         for group in self.groups.values_mut() {
             group.failover = Failover::default();
+            group.pauses.forget();
             group.holders.forget_positions();
         }
         for health in self.peer_health.values_mut() {
--- a/crates/pool/tests/paused_replicas.rs
+++ b/crates/pool/tests/paused_replicas.rs
@@ -3,8 +3,84 @@
 
 mod support;
 
+use lycheedoor_core::types::Term;
+use lycheedoor_pool::FleetRecord;
+use lycheedoor_pool::ObjectKind;
+use lycheedoor_pool::ObjectValue;
 use support::PRIMARY;
 use support::fake_group::FakeGroup;
+use support::fake_group::Platform;
+
+/// Guards against a service without writes for ever: the replicas were paused before a promotion that the
+/// platform did not accept, and the primary came back in the meantime.
+#[test]
+fn replicas_are_not_left_paused_when_the_primary_is_back_before_a_promotion() {
+    let mut fake = FakeGroup::start(1);
+    fake.platform = Platform::Unavailable;
+    fake.down = vec![PRIMARY];
+    fake.write();
+    fake.run(2_000);
+    assert_eq!(fake.harness.paused.len(), 2);
+    fake.down.clear();
+    fake.run(1_000);
+    fake.platform = Platform::Available;
+    fake.run(3_000);
+    assert_eq!(fake.harness.paused.len(), 0);
+    assert_eq!(fake.harness.term, Term(2));
+}
+
+/// Guards against a pause that outlasts the process which requested it, also that of a single replica, and
+/// against a pause that takes effect after its attempt has ended.
+#[test]
+fn pause_of_another_process_is_found() {
+    for paused in [vec!["m2", "m3"], vec!["m3"]] {
+        for calm_ms in [0, 10_000] {
+            let mut fake = FakeGroup::start(1);
+            fake.run(calm_ms);
+            assert_eq!(fake.requests, []);
+            for name in &paused {
+                fake.pause(name);
+            }
+            fake.run(5_000);
+            assert_eq!(fake.requests.len(), 1, "{paused:?}");
+            assert_eq!(fake.harness.paused.len(), 0);
+        }
+    }
+}
+
+/// Guards against a service without writes for ever: a primary that has crashed is back under another
+/// name, and its former one counts as a member that may have confirmed commits.
+#[test]
+fn pause_ends_although_a_former_member_may_have_confirmed_commits() {
+    let mut fake = FakeGroup::start(1);
+    let holders = [PRIMARY, "m2", "m3", "m9"].map(|name| (name.into(), None));
+    let holders = FleetRecord::CommitHolders(holders.into());
+    let record = Some(ObjectValue::Fleet(holders));
+    fake.harness
+        .change_object(ObjectKind::Fleet, "holders.ledger-1", record);
+    fake.run(1_000);
+    for name in ["m2", "m3"] {
+        fake.pause(name);
+    }
+    fake.run(6_000);
+    assert_eq!(fake.requested_members(), [PRIMARY]);
+    assert_eq!(fake.harness.paused.len(), 0);
+}
+
+/// Guards against a VM that interferes with the attempt of another one, and against repeated promotions
+/// after a pause has ended.
+#[test]
+fn short_pause_is_left_to_the_attempt_that_requested_it() {
+    let mut fake = FakeGroup::start(1);
+    fake.run(2_000);
+    for name in ["m2", "m3"] {
+        fake.pause(name);
+    }
+    fake.run(400);
+    fake.promote("m2");
+    fake.run(10_000);
+    assert_eq!(fake.requests, []);
+}
 
 /// Guards against a service without a primary for ever: the old one has stepped down for an attempt that
 /// ended, and the replicas are down.
--- a/crates/pool/tests/support/fake_group.rs
+++ b/crates/pool/tests/support/fake_group.rs
@@ -207,7 +207,7 @@
     }
 
     /// Makes a member the primary of the next term, in which no replica is paused.
-    fn promote(&mut self, member: &str) {
+    pub(crate) fn promote(&mut self, member: &str) {
         let received = self.received[member];
         assert!(received >= self.confirmed, "{member} lacks commits");
         for other in self.received.values_mut() {
