Compare only positions of members that are paused in the newest term

A member ignores a pause that names a term which has begun. The VMs derived the term from the positions of logs, which do not show a promotion after which nothing was committed. The answer was taken for that of a paused member, which went on to confirm commits; another one could then be promoted without them. A member that has started again since it was paused is the same fault.

A position now counts only if the answer shows the pause. The term that members report counts as well as that of their logs, and an attempt that finds a later term than it began with ends. Both tests failed before.

--- a/crates/pool/src/failover/claim.rs
+++ b/crates/pool/src/failover/claim.rs
@@ -200,6 +200,7 @@
             claim,
             deadline: now + MEMBER_ANSWER_TIMEOUT,
             next_query_at: now,
+            ended_term: group.highest_term(),
             received: BTreeMap::new(),
             step_down_position: None,
         };
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -21,6 +21,7 @@
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
 use lycheedoor_core::types::Position;
+use lycheedoor_core::types::Term;
 use lycheedoor_core::types::VmId;
 use smallvec::SmallVec;
 
@@ -83,7 +84,9 @@
         claim: StoreRevision,
         deadline: MonoTime,
         next_query_at: MonoTime,
-        /// The received position of each member that has answered.
+        /// The newest term, which a promotion would end.
+        ended_term: Term,
+        /// The received position of each member that has answered and is paused if it has to be.
         received: BTreeMap<MemberId, Position>,
         /// The position at which the old primary stepped down.
         step_down_position: Option<Position>,
--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -123,6 +123,7 @@
         let Phase::QueryingMembers {
             deadline,
             next_query_at,
+            ended_term,
             received,
             step_down_position,
             ..
@@ -174,17 +175,18 @@
         }
         if now >= *next_query_at {
             *next_query_at = now + MEMBER_QUERY_INTERVAL;
-            let term = group.highest_term().next();
+            let next_term = ended_term.next();
             for member in queried {
                 let command = if must_pause {
-                    MemberCommand::Pause(term)
+                    MemberCommand::Pause(next_term)
                 } else {
                     MemberCommand::Status
                 };
                 self.query_member(now, id, &member, command, actions);
             }
             if let Some(primary) = primary {
-                self.query_member(now, id, &primary, MemberCommand::StepDown(term), actions);
+                let command = MemberCommand::StepDown(next_term);
+                self.query_member(now, id, &primary, command, actions);
             }
         }
     }
@@ -240,6 +242,7 @@
             return;
         };
         let (group_id, member) = (link.group.clone(), link.member.clone());
+        let confirming = self.confirming_replicas(&group_id);
         let Some(group) = self.groups.get_mut(&group_id) else {
             return;
         };
@@ -277,14 +280,27 @@
         let Phase::QueryingMembers {
             received,
             step_down_position,
+            ended_term,
             ..
         } = &mut group.failover.phase
         else {
             return;
         };
+        let has_ended = confirming > 0 && status.term > *ended_term;
+        if has_ended {
+            // Positions of a term that has ended say nothing about commits since then.
+            let step = "the members are in a later term";
+            report_step(&group_id, step, Some(member), None, actions);
+            return group.failover.pause(now, FAILED_STEP_DELAY);
+        }
+        // A primary that has stepped down commits nothing more, and neither do the others.
+        let counts = confirming == 0
+            || status.is_paused()
+            || cause == Some(FailoverCause::Planned)
+            || cause == Some(FailoverCause::Paused) && is_primary;
         if is_primary && !status.is_primary && cause == Some(FailoverCause::Planned) {
             *step_down_position = Some(status.received);
-        } else if !status.is_primary {
+        } else if counts && !status.is_primary {
             received.insert(member, status.received);
         }
         self.run_failover(now, &group_id, actions);
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -60,6 +60,8 @@
     pub(crate) waiting: Vec<CallerId>,
     pub(crate) failover: Failover,
     pub(crate) pauses: PausedReplicas,
+    /// The highest term that a member has reported.
+    reported_term: Term,
     pub(crate) holders: CommitHolders,
     pub(crate) is_sampling: bool,
     /// The latest request to another VM for a position of the primary, unless it was answered.
@@ -179,6 +181,7 @@
 
     /// Records the status that a member has reported.
     pub(crate) fn note_status(&mut self, now: MonoTime, member: &MemberId, status: MemberStatus) {
+        self.reported_term = self.reported_term.max(status.term);
         self.pauses.note_status(now, member, status);
         self.holders.note_position(member, status);
     }
@@ -245,8 +248,7 @@
         positions
             .chain(samples)
             .map(|position| position.term)
-            .max()
-            .unwrap_or_default()
+            .fold(self.reported_term, Term::max)
     }
 
     /// Returns whether statements may be sent to the primary.
--- a/crates/pool/tests/paused_replicas.rs
+++ b/crates/pool/tests/paused_replicas.rs
@@ -82,6 +82,36 @@
     assert_eq!(fake.requests, []);
 }
 
+/// Guards against comparing positions of members that go on to receive commits: they ignore a pause that
+/// names a term which has begun already.
+#[test]
+fn members_that_ignore_a_pause_are_not_compared() {
+    let mut fake = FakeGroup::start(1);
+    // A promotion in which no commit followed: the logs do not show the term.
+    fake.harness.term = Term(4);
+    fake.platform = Platform::Unavailable;
+    fake.down = vec![PRIMARY];
+    fake.write();
+    for _ in 0..1_000 {
+        fake.run(5);
+        assert!(fake.requests.is_empty() || fake.harness.paused.len() == 2);
+    }
+    assert!(!fake.requests.is_empty());
+}
+
+/// Guards against comparing the position of a member that goes on to receive commits, since it has
+/// started again after it was paused.
+#[test]
+fn member_whose_pause_has_ended_is_not_compared() {
+    let mut fake = FakeGroup::start(1);
+    fake.restarted = Some("m3");
+    fake.down = vec![PRIMARY];
+    fake.write();
+    fake.run(5_000);
+    assert_eq!(fake.requests, []);
+    assert!(fake.harness.paused.contains_key("m2"));
+}
+
 /// Guards against a service without a primary for ever: the old one has stepped down for an attempt that
 /// ended, and the replicas are down.
 #[test]
