Record a promotion before it is requested, and repeat it until the term ends

A request to promote a member that got no answer may be carried out seconds later. If the next attempt chose another member and both requests were carried out, the second member could lack commits that were confirmed in between: its position was read before the first promotion, which ends the pauses. The fencing token does not prevent this, since the requests are in the order of their tokens. The choice differed when the first member had begun to drain meanwhile, or for a VM that did not reach it.

With confirming replicas the VM now records the member, its position and the term before it asks for the promotion; the revision of that record is the token. Whoever claims the group later has read it and repeats that promotion while the members are in the same term and no replica has received more. Requests may then be carried out in any order: all but the first change nothing. Once the platform has refused the member under a newer token, earlier requests are dead too, and the next attempt is free. Groups without confirming replicas write no record.

--- a/crates/pool/src/failover/claim.rs
+++ b/crates/pool/src/failover/claim.rs
@@ -16,6 +16,8 @@
 use crate::failover::report_step;
 use crate::pool::Pool;
 use crate::roster::FleetRecord;
+use crate::roster::RequestedPromotion;
+use crate::store_revision::StoreRevision;
 
 /// Delay before the next attempt after the other VMs' answers ruled out a replacement.
 const REJECTED_ATTEMPT_DELAY: Duration = Duration::from_millis(500);
@@ -103,22 +105,59 @@
         id: &GroupId,
         actions: &mut Vec<PoolAction>,
     ) {
-        let (name, expected) = self.group_record(id);
-        self.claim_sequence += 1;
+        let (_, expected) = self.group_record(id);
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
         group.failover.phase = Phase::Claiming;
         group.failover.not_before = now;
         group.failover.claimed_primary = group.primary.clone();
+        let requested = group.requested_promotion.clone();
+        report_step(id, "claiming", group.primary.clone(), None, actions);
+        self.write_group_record(id, requested, expected, actions);
+    }
+
+    /// Records which member this VM is about to promote. The token of the promotion is the revision of
+    /// this record, so a VM that claims the group later has read it.
+    pub(crate) fn write_promotion_record(
+        &mut self,
+        id: &GroupId,
+        requested: RequestedPromotion,
+        claim: StoreRevision,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        let member = Some(requested.member.clone());
+        report_step(id, "recording the promotion", member, Some(claim), actions);
+        group.failover.phase = Phase::Recording {
+            claim,
+            requested: requested.clone(),
+        };
+        self.write_group_record(id, Some(requested), Some(claim), actions);
+    }
+
+    fn write_group_record(
+        &mut self,
+        id: &GroupId,
+        requested: Option<RequestedPromotion>,
+        expected: Option<StoreRevision>,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let (name, _) = self.group_record(id);
+        self.claim_sequence += 1;
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
         group.failover.latest_claim = Some(self.claim_sequence);
         let record = FleetRecord::Promotion {
             holder: self.settings.vm.clone(),
             incarnation: self.settings.incarnation,
             sequence: self.claim_sequence,
-            replaces: group.primary.clone(),
+            replaces: group.failover.claimed_primary.clone(),
+            requested,
         };
-        report_step(id, "claiming", group.primary.clone(), None, actions);
         actions.push(PoolAction::WriteRecord {
             name,
             record,
@@ -137,8 +176,15 @@
             return;
         };
         let failover = &mut group.failover;
-        if !matches!(failover.phase, Phase::Claiming) {
-            return;
+        match (&failover.phase, &outcome) {
+            // The claim itself was read from the store before this answer to it.
+            (Phase::Recording { claim, .. }, WriteOutcome::Written(written))
+                if written <= claim =>
+            {
+                return;
+            }
+            (Phase::Claiming | Phase::Recording { .. }, _) => {}
+            _ => return,
         }
         let (vm, incarnation) = (&self.settings.vm, self.settings.incarnation);
         let is_own = |record: &FleetRecord| match record {
@@ -147,6 +193,7 @@
                 incarnation: of,
                 sequence,
                 replaces,
+                ..
             } => {
                 holder == vm
                     && *of == incarnation
@@ -192,9 +239,19 @@
             }
         };
         group.failover.unanswered_claims.clear();
+        let recorded = match &group.failover.phase {
+            Phase::Recording { requested, .. } => Some(requested.clone()),
+            _ => None,
+        };
+        if recorded.is_some() {
+            group.requested_promotion.clone_from(&recorded);
+        }
         if group.failover.pending_cause.is_none() {
             return group.failover.pause(now, Duration::ZERO);
         }
+        if let Some(requested) = recorded {
+            return self.request_promotion(now, id, requested.member, claim, actions);
+        }
         report_step(id, "claimed", group.primary.clone(), Some(claim), actions);
         group.failover.phase = Phase::QueryingMembers {
             claim,
--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -8,6 +8,13 @@
 //!
 //! A primary that is draining, or whose data centre is taken out of service, is stepped down first,
 //! so that the replicas can receive its last commits before one of them is promoted.
+//!
+//! Where replicas confirm commits, they are paused before their positions are compared, so the member
+//! with the newest one has all confirmed commits until a promotion takes effect. A request for one may
+//! take effect seconds later, also after a newer one. So the member is recorded in the store before it
+//! is promoted, and until the term has ended each attempt promotes that member again, by whichever VM:
+//! the requests may then take effect in any order. Another member is promoted once the platform has
+//! refused the recorded one under a newer token, which ends the earlier requests.
 
 mod claim;
 mod pauses;
@@ -31,6 +38,7 @@
 use crate::message::PoolMessage;
 use crate::pool::Pool;
 use crate::report::Report;
+use crate::roster::RequestedPromotion;
 use crate::session::Stage;
 use crate::store_revision::StoreRevision;
 
@@ -91,6 +99,11 @@
         /// The position at which the old primary stepped down.
         step_down_position: Option<Position>,
     },
+    /// The record of the promotion is being written.
+    Recording {
+        claim: StoreRevision,
+        requested: RequestedPromotion,
+    },
     Promoting {
         claim: StoreRevision,
         member: MemberId,
@@ -116,6 +129,14 @@
         self.pending_cause.is_some()
     }
 
+    /// Returns the term that a promotion by the present attempt would end.
+    fn ended_term(&self) -> Option<Term> {
+        match &self.phase {
+            Phase::QueryingMembers { ended_term, .. } => Some(*ended_term),
+            _ => None,
+        }
+    }
+
     /// Returns whether an attempt because of a paused replica is in progress.
     fn is_ending_pauses(&self) -> bool {
         matches!(self.pending_cause, Some((FailoverCause::Paused, _)))
@@ -130,7 +151,8 @@
                 *claim < revision
             }
             Phase::Idle | Phase::QueryingPeers { .. } => true,
-            Phase::Claiming => false,
+            // The answer of the store tells whose write came first.
+            Phase::Claiming | Phase::Recording { .. } => false,
         };
         if !is_own && is_older {
             self.phase = Phase::Idle;
@@ -150,7 +172,7 @@
         self.latest_claim = None;
         let claim = match &self.phase {
             Phase::Idle | Phase::Promoting { .. } => return,
-            Phase::QueryingMembers { claim, .. } => Some(*claim),
+            Phase::QueryingMembers { claim, .. } | Phase::Recording { claim, .. } => Some(*claim),
             Phase::QueryingPeers { .. } | Phase::Claiming => None,
         };
         let step = "attempt ended since the store was restored";
@@ -158,9 +180,10 @@
         self.pause(now, Duration::ZERO);
     }
 
-    /// Returns whether the answer to a claim is outstanding.
+    /// Returns whether the answer to a claim, or to the record of a promotion, is outstanding.
     pub(crate) fn awaits_claim(&self, sequence: u64) -> bool {
-        matches!(self.phase, Phase::Claiming) && self.latest_claim == Some(sequence)
+        matches!(self.phase, Phase::Claiming | Phase::Recording { .. })
+            && self.latest_claim == Some(sequence)
     }
 
     /// Delays this VM's own attempt because another VM has started one.
@@ -222,7 +245,7 @@
             }
             Phase::QueryingMembers { .. } => self.continue_member_queries(now, id, cause, actions),
             Phase::Promoting { .. } => self.check_promotion(now, id),
-            Phase::QueryingPeers { .. } | Phase::Claiming => {}
+            Phase::QueryingPeers { .. } | Phase::Claiming | Phase::Recording { .. } => {}
         }
     }
 
--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -25,6 +25,7 @@
 use crate::member::Member;
 use crate::message::PoolMessage;
 use crate::pool::Pool;
+use crate::roster::RequestedPromotion;
 use crate::statement::MemberAnswer;
 use crate::statement::MemberCommand;
 use crate::store_era::STORE_ERA_VERSION;
@@ -104,66 +105,85 @@
             true => reachable_replicas(now, group),
             false => candidates.clone(),
         };
+        let ended_term = group.failover.ended_term();
+        let requested = group.requested_promotion.as_ref();
+        let requested = requested.filter(|requested| Some(requested.ended_term) == ended_term);
+        let requested = requested.filter(|_| confirming > 0).cloned();
         let primary = group.primary.clone().filter(|primary| {
             let member = group.members.get(primary);
             let is_presumed = |member| is_presumed_primary(group, primary, member);
             match cause {
                 FailoverCause::Lost => false,
-                FailoverCause::Paused => member.is_some_and(is_presumed),
+                FailoverCause::Paused => requested.is_none() && member.is_some_and(is_presumed),
                 FailoverCause::Planned => true,
             }
         });
         let asked = queried.len() + usize::from(primary.is_some());
-        if must_pause && asked.saturating_add(confirming) < commit_holders {
+        if must_pause && requested.is_none() && asked.saturating_add(confirming) < commit_holders {
             // A replica that is paused for nothing confirms no commit when the primary is back.
             let step = "too few members run to have all commits";
             report_step(id, step, group.primary.clone(), None, actions);
             return group.failover.pause(now, TOO_FEW_MEMBERS_DELAY);
         }
         let Phase::QueryingMembers {
+            claim,
             deadline,
             next_query_at,
             ended_term,
             received,
             step_down_position,
-            ..
         } = &mut group.failover.phase
         else {
             return;
         };
-        let newest = |members: &[MemberId]| {
-            let positions = members.iter().filter_map(|member| received.get(member));
-            positions.max().copied()
-        };
-        let answered = queried
+        let (claim, ended_term) = (*claim, *ended_term);
+        let newest = candidates
             .iter()
-            .filter(|member| received.contains_key(*member));
+            .filter_map(|member| Some((*received.get(member)?, Reverse(member))))
+            .max();
+        let newest_position = newest.map(|(position, _)| position);
+        let answered = queried.iter();
+        let answered = answered.filter(|member| received.contains_key(*member));
         let answered = answered.count();
         let awaits_primary = cause == FailoverCause::Paused && primary.is_some();
         let is_complete = answered == queried.len() && answered > 0 && !awaits_primary;
         let has_final_position = match (cause, *step_down_position) {
             (FailoverCause::Lost | FailoverCause::Paused, _) => true,
             (FailoverCause::Planned, None) => false,
-            (FailoverCause::Planned, Some(last)) => newest(&candidates) >= Some(last),
+            (FailoverCause::Planned, Some(last)) => newest_position >= Some(last),
         };
         // A confirmed commit is in the log of the primary and of at least `confirming` other members,
         // so of any members that are all but `confirming`, one has it.
-        let has_confirmed = |position: Position| {
-            let covered = received.values().filter(|other| **other <= position);
-            covered.count().saturating_add(confirming) >= commit_holders
-        };
-        let keeps_confirmed = match (confirming, cause) {
+        let has_confirmed = |position: Position| match (confirming, cause) {
             (0, _) => true,
-            (_, FailoverCause::Planned) => has_final_position,
+            (_, FailoverCause::Planned) => step_down_position.is_some_and(|last| position >= last),
             (_, FailoverCause::Lost | FailoverCause::Paused) => {
-                newest(&candidates).is_some_and(has_confirmed)
+                let covered = received.values().filter(|other| **other <= position);
+                covered.count().saturating_add(confirming) >= commit_holders
             }
         };
+        // When the promotion was recorded the member had all confirmed commits, and none has been
+        // confirmed since if no replica has received more.
+        let repeated = requested.filter(|requested| {
+            let replicas = received.iter();
+            let replicas = replicas.filter(|(id, _)| group.primary.as_ref() != Some(*id));
+            let newest = replicas.map(|(_, position)| *position).max();
+            newest.is_some_and(|newest| newest <= requested.received)
+        });
+        let promoted = repeated.or_else(|| {
+            let (received, Reverse(member)) =
+                newest.filter(|(position, _)| has_confirmed(*position))?;
+            Some(RequestedPromotion {
+                member: member.clone(),
+                ended_term,
+                received,
+            })
+        });
         let is_timed_out = now >= *deadline;
-        if keeps_confirmed
-            && (is_complete && has_final_position || is_timed_out && newest(&candidates).is_some())
+        if let Some(promoted) = promoted
+            && (is_complete && has_final_position || is_timed_out)
         {
-            return self.promote_newest(now, id, &candidates, actions);
+            return self.promote(now, id, promoted, claim, actions);
         }
         if is_timed_out {
             let step = match answered {
@@ -247,10 +267,10 @@
             return;
         };
         let is_primary = group.primary.as_ref() == Some(&member);
-        if let (Some(status), Ok(_)) = (answer.status, &answer.result) {
+        let status = answer.status.filter(|_| answer.result.is_ok());
+        if let Some(status) = status {
             group.note_status(now, &member, status);
         }
-        let status = answer.status.filter(|_| answer.result.is_ok());
         let is_unusable = |primary: &MemberId| {
             let state = group.members.get(primary);
             state.is_some_and(|state| {
@@ -306,34 +326,41 @@
         self.run_failover(now, &group_id, actions);
     }
 
-    fn promote_newest(
+    /// Promotes a member under a claim. Where replicas confirm commits, the promotion is recorded first
+    /// unless the claim contains it.
+    fn promote(
         &mut self,
         now: MonoTime,
         id: &GroupId,
-        candidates: &[MemberId],
+        promoted: RequestedPromotion,
+        claim: StoreRevision,
         actions: &mut Vec<PoolAction>,
     ) {
+        let must_record = self.confirming_replicas(id) > 0;
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
-        let Phase::QueryingMembers {
-            claim, received, ..
-        } = &group.failover.phase
-        else {
-            return;
-        };
-        let claim = *claim;
         if group.is_promoted_after(claim) {
             return group.failover.pause(now, FAILED_STEP_DELAY);
         }
-        let newest = candidates
-            .iter()
-            .filter_map(|member| Some((received.get(member)?, Reverse(member), member)))
-            .max();
-        let Some((_, _, member)) = newest else {
+        if must_record && group.requested_promotion.as_ref() != Some(&promoted) {
+            return self.write_promotion_record(id, promoted, claim, actions);
+        }
+        self.request_promotion(now, id, promoted.member, claim, actions);
+    }
+
+    /// Asks the platform to promote a member.
+    pub(crate) fn request_promotion(
+        &mut self,
+        now: MonoTime,
+        id: &GroupId,
+        member: MemberId,
+        claim: StoreRevision,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(group) = self.groups.get_mut(id) else {
             return;
         };
-        let member = member.clone();
         report_step(id, "promoting", Some(member.clone()), Some(claim), actions);
         group.failover.phase = Phase::Promoting {
             claim,
@@ -355,6 +382,7 @@
         outcome: PromotionOutcome,
         actions: &mut Vec<PoolAction>,
     ) {
+        let (_, latest_claim) = self.group_record(id);
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
@@ -364,6 +392,7 @@
         if claim.token() != answered_token {
             return;
         }
+        let is_latest_claim = latest_claim == Some(*claim);
         let (claim, member) = (*claim, member.clone());
         match outcome {
             PromotionOutcome::Accepted => {
@@ -373,7 +402,13 @@
                 self.refresh_group(now, id, actions);
             }
             PromotionOutcome::Refused => {
-                report_step(id, "promotion refused", Some(member), Some(claim), actions);
+                let step = "promotion refused";
+                report_step(id, step, Some(member.clone()), Some(claim), actions);
+                let requested = group.requested_promotion.as_ref();
+                if is_latest_claim && requested.is_some_and(|known| known.member == member) {
+                    // The platform has seen this token, so it refuses all earlier requests as well.
+                    group.requested_promotion = None;
+                }
                 group.failover.pause(now, FAILED_STEP_DELAY);
             }
             PromotionOutcome::Unknown => {
--- a/crates/pool/src/group.rs
+++ b/crates/pool/src/group.rs
@@ -19,6 +19,7 @@
 use crate::member::Member;
 use crate::primary_position::SentRequest;
 use crate::room::MemberRoom;
+use crate::roster::RequestedPromotion;
 use crate::statement::MemberStatus;
 use crate::store_revision::StoreRevision;
 
@@ -59,6 +60,8 @@
     /// Callers whose statements wait for a connection, in the order in which they are served.
     pub(crate) waiting: Vec<CallerId>,
     pub(crate) failover: Failover,
+    /// The latest promotion that was requested in the group and may still take effect.
+    pub(crate) requested_promotion: Option<RequestedPromotion>,
     pub(crate) pauses: PausedReplicas,
     /// The highest term that a member has reported.
     reported_term: Term,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -81,6 +81,7 @@
 pub use room::MemberRoom;
 pub use room::RoomShare;
 pub use roster::FleetRecord;
+pub use roster::RequestedPromotion;
 pub use session::CallerUsage;
 pub use statement::Access;
 pub use statement::CallerError;
--- a/crates/pool/src/registration.rs
+++ b/crates/pool/src/registration.rs
@@ -111,6 +111,18 @@
                 None => self.record_revisions.remove(name),
             };
         }
+        match &outcome {
+            WriteOutcome::Conflict {
+                record: Some(record),
+                ..
+            } => self.note_requested_promotion(name, record, false),
+            WriteOutcome::Written(revision) if name.starts_with(GROUP_RECORD_PREFIX) => {
+                let known = self.record_revisions.entry(name.to_owned());
+                let known = known.or_insert(*revision);
+                *known = (*known).max(*revision);
+            }
+            _ => {}
+        }
         self.relay.is_own_path_lost = outcome == WriteOutcome::Unknown;
         if let Some(group) = name.strip_prefix(GROUP_RECORD_PREFIX) {
             let group = GroupId::from(group);
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -11,8 +11,10 @@
 use lycheedoor_core::types::Incarnation;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
+use lycheedoor_core::types::Position;
 use lycheedoor_core::types::RosterPeer;
 use lycheedoor_core::types::RosterView;
+use lycheedoor_core::types::Term;
 use lycheedoor_core::types::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -34,6 +36,19 @@
 /// a message closes the connection.
 pub(crate) const MESSAGE_VERSION: u32 = 2;
 
+/// A promotion that the platform may carry out although it has not answered, also after the VM that
+/// requested it has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestedPromotion {
+    /// The member that becomes the primary.
+    pub member: MemberId,
+    /// The term that the promotion ends. It changes nothing in a later one, in which the member is
+    /// the primary or a request with a later token has been carried out.
+    pub ended_term: Term,
+    /// The position that the member had received.
+    pub received: Position,
+}
+
 /// A record of the fleet in the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -69,6 +84,10 @@
         sequence: u64,
         /// The primary that is to be replaced; `None` when none was known.
         replaces: Option<MemberId>,
+        /// The promotion that has been requested by this claim or an earlier one, and may still take
+        /// effect. Records of builds that do not keep it lack the field.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        requested: Option<RequestedPromotion>,
     },
     /// The members of a group that may hold confirmed commits.
     CommitHolders(HolderSet),
--- a/crates/pool/src/store_changes.rs
+++ b/crates/pool/src/store_changes.rs
@@ -284,6 +284,7 @@
                 false
             }
             (None, Some(ObjectValue::Fleet(record))) => {
+                self.note_requested_promotion(&change.name, &record, may_be_older);
                 self.apply_promotion_record(&change.name, &record, change.revision, actions);
                 false
             }
@@ -307,6 +308,32 @@
         group.holders.record_read(record, may_be_older);
     }
 
+    /// Takes over which promotion may still take effect. A record that may be older than what is known,
+    /// since the store has come back from a copy, ends none.
+    pub(crate) fn note_requested_promotion(
+        &mut self,
+        name: &str,
+        record: &FleetRecord,
+        may_be_older: bool,
+    ) {
+        let FleetRecord::Promotion { requested, .. } = record else {
+            return;
+        };
+        let Some(group) = name.strip_prefix(GROUP_RECORD_PREFIX) else {
+            return;
+        };
+        match (self.groups.get_mut(group), requested) {
+            (Some(_), None) if may_be_older => {}
+            (Some(state), requested) => state.requested_promotion.clone_from(requested),
+            // The record is needed although no member may be known yet.
+            (None, Some(requested)) => {
+                let state = self.groups.entry(GroupId::from(group)).or_default();
+                state.requested_promotion = Some(requested.clone());
+            }
+            (None, None) => {}
+        }
+    }
+
     fn apply_promotion_record(
         &mut self,
         name: &str,
