Split the choice of the member to promote, and check its own log

The choice has functions of its own: the recorded promotion that can be repeated, and the newest candidate. A recorded member that has received less than the record says has lost its log and is not promoted again; the new test fails without this.

--- a/crates/pool/src/failover/mod.rs
+++ b/crates/pool/src/failover/mod.rs
@@ -129,14 +129,6 @@
         self.pending_cause.is_some()
     }
 
-    /// Returns the term that a promotion by the present attempt would end.
-    fn ended_term(&self) -> Option<Term> {
-        match &self.phase {
-            Phase::QueryingMembers { ended_term, .. } => Some(*ended_term),
-            _ => None,
-        }
-    }
-
     /// Returns whether an attempt because of a paused replica is in progress.
     fn is_ending_pauses(&self) -> bool {
         matches!(self.pending_cause, Some((FailoverCause::Paused, _)))
@@ -151,7 +143,7 @@
                 *claim < revision
             }
             Phase::Idle | Phase::QueryingPeers { .. } => true,
-            // The answer of the store tells whose write came first.
+            // The answer of the store tells which write came first.
             Phase::Claiming | Phase::Recording { .. } => false,
         };
         if !is_own && is_older {
--- a/crates/pool/src/failover/promotion.rs
+++ b/crates/pool/src/failover/promotion.rs
@@ -7,7 +7,6 @@
 use lycheedoor_core::types::GroupId;
 use lycheedoor_core::types::MemberId;
 use lycheedoor_core::types::MonoTime;
-use lycheedoor_core::types::Position;
 use lycheedoor_core::types::VmId;
 
 use crate::event::PoolAction;
@@ -19,6 +18,7 @@
 use crate::failover::is_presumed_primary;
 use crate::failover::reachable_replicas;
 use crate::failover::report_step;
+use crate::group::Group;
 use crate::link::Link;
 use crate::link::Owner;
 use crate::link::Purpose;
@@ -47,6 +47,70 @@
 /// Time for a promotion request to be answered and for the promoted member to become primary.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+impl Group {
+    /// Returns the promotion that was recorded in the term of the present attempt, if it can be repeated:
+    /// when it was recorded the member had all confirmed commits, and none has been confirmed since if
+    /// no replica has received more.
+    fn repeatable_promotion(&self, confirming: usize) -> Option<&RequestedPromotion> {
+        let Phase::QueryingMembers {
+            ended_term,
+            received,
+            ..
+        } = &self.failover.phase
+        else {
+            return None;
+        };
+        let requested = self.requested_promotion.as_ref()?;
+        let mut replicas = received
+            .iter()
+            .filter(|(id, _)| self.primary.as_ref() != Some(*id));
+        let own = received.get(&requested.member);
+        let is_repeatable = confirming > 0
+            && requested.ended_term == *ended_term
+            && own.is_none_or(|position| *position >= requested.received)
+            && replicas.all(|(_, position)| *position <= requested.received);
+        is_repeatable.then_some(requested)
+    }
+
+    /// Returns the promotion of the candidate that has received most, if it has all confirmed commits.
+    fn newest_candidate(
+        &self,
+        candidates: &[MemberId],
+        cause: FailoverCause,
+        confirming: usize,
+        commit_holders: usize,
+    ) -> Option<RequestedPromotion> {
+        let Phase::QueryingMembers {
+            ended_term,
+            received,
+            step_down_position,
+            ..
+        } = &self.failover.phase
+        else {
+            return None;
+        };
+        let positions = candidates
+            .iter()
+            .filter_map(|member| Some((*received.get(member)?, Reverse(member))));
+        let (position, Reverse(member)) = positions.max()?;
+        // A confirmed commit is in the log of the primary and of at least `confirming` other members,
+        // so of any members that are all but `confirming`, one has it.
+        let has_confirmed = match (confirming, cause) {
+            (0, _) => true,
+            (_, FailoverCause::Planned) => step_down_position.is_some_and(|last| position >= last),
+            (_, FailoverCause::Lost | FailoverCause::Paused) => {
+                let covered = received.values().filter(|other| **other <= position);
+                covered.count().saturating_add(confirming) >= commit_holders
+            }
+        };
+        has_confirmed.then(|| RequestedPromotion {
+            member: member.clone(),
+            ended_term: *ended_term,
+            received: position,
+        })
+    }
+}
+
 impl Pool {
     /// Asks the members which of them is the primary, once the presumed primary has been unusable
     /// for `PRIMARY_SEARCH_DELAY`. A VM that reaches neither the store nor the other VMs has no
@@ -87,6 +151,8 @@
         }
     }
 
+    /// Asks the members for their positions, and promotes one once it is known to have all commits that
+    /// must not be lost.
     pub(crate) fn continue_member_queries(
         &mut self,
         now: MonoTime,
@@ -105,26 +171,25 @@
             true => reachable_replicas(now, group),
             false => candidates.clone(),
         };
-        let ended_term = group.failover.ended_term();
-        let requested = group.requested_promotion.as_ref();
-        let requested = requested.filter(|requested| Some(requested.ended_term) == ended_term);
-        let requested = requested.filter(|_| confirming > 0).cloned();
-        let primary = group.primary.clone().filter(|primary| {
+        let repeated = group.repeatable_promotion(confirming).cloned();
+        let stepping_down = group.primary.clone().filter(|primary| {
             let member = group.members.get(primary);
             let is_presumed = |member| is_presumed_primary(group, primary, member);
             match cause {
                 FailoverCause::Lost => false,
-                FailoverCause::Paused => requested.is_none() && member.is_some_and(is_presumed),
+                FailoverCause::Paused => repeated.is_none() && member.is_some_and(is_presumed),
                 FailoverCause::Planned => true,
             }
         });
-        let asked = queried.len() + usize::from(primary.is_some());
-        if must_pause && requested.is_none() && asked.saturating_add(confirming) < commit_holders {
+        let asked = queried.len() + usize::from(stepping_down.is_some());
+        if must_pause && repeated.is_none() && asked.saturating_add(confirming) < commit_holders {
             // A replica that is paused for nothing confirms no commit when the primary is back.
             let step = "too few members run to have all commits";
             report_step(id, step, group.primary.clone(), None, actions);
             return group.failover.pause(now, TOO_FEW_MEMBERS_DELAY);
         }
+        let newest = group.newest_candidate(&candidates, cause, confirming, commit_holders);
+        let promoted = repeated.or(newest);
         let Phase::QueryingMembers {
             claim,
             deadline,
@@ -137,51 +202,22 @@
             return;
         };
         let (claim, ended_term) = (*claim, *ended_term);
-        let newest = candidates
-            .iter()
-            .filter_map(|member| Some((*received.get(member)?, Reverse(member))))
-            .max();
-        let newest_position = newest.map(|(position, _)| position);
         let answered = queried.iter();
         let answered = answered.filter(|member| received.contains_key(*member));
         let answered = answered.count();
-        let awaits_primary = cause == FailoverCause::Paused && primary.is_some();
+        let awaits_primary = cause == FailoverCause::Paused && stepping_down.is_some();
         let is_complete = answered == queried.len() && answered > 0 && !awaits_primary;
         let has_final_position = match (cause, *step_down_position) {
             (FailoverCause::Lost | FailoverCause::Paused, _) => true,
             (FailoverCause::Planned, None) => false,
-            (FailoverCause::Planned, Some(last)) => newest_position >= Some(last),
-        };
-        // A confirmed commit is in the log of the primary and of at least `confirming` other members,
-        // so of any members that are all but `confirming`, one has it.
-        let has_confirmed = |position: Position| match (confirming, cause) {
-            (0, _) => true,
-            (_, FailoverCause::Planned) => step_down_position.is_some_and(|last| position >= last),
-            (_, FailoverCause::Lost | FailoverCause::Paused) => {
-                let covered = received.values().filter(|other| **other <= position);
-                covered.count().saturating_add(confirming) >= commit_holders
+            (FailoverCause::Planned, Some(last)) => {
+                let mut positions = candidates.iter().filter_map(|member| received.get(member));
+                positions.any(|position| *position >= last)
             }
         };
-        // When the promotion was recorded the member had all confirmed commits, and none has been
-        // confirmed since if no replica has received more.
-        let repeated = requested.filter(|requested| {
-            let replicas = received.iter();
-            let replicas = replicas.filter(|(id, _)| group.primary.as_ref() != Some(*id));
-            let newest = replicas.map(|(_, position)| *position).max();
-            newest.is_some_and(|newest| newest <= requested.received)
-        });
-        let promoted = repeated.or_else(|| {
-            let (received, Reverse(member)) =
-                newest.filter(|(position, _)| has_confirmed(*position))?;
-            Some(RequestedPromotion {
-                member: member.clone(),
-                ended_term,
-                received,
-            })
-        });
         let is_timed_out = now >= *deadline;
         if let Some(promoted) = promoted
-            && (is_complete && has_final_position || is_timed_out)
+            && (is_complete && has_final_position || is_timed_out && answered > 0)
         {
             return self.promote(now, id, promoted, claim, actions);
         }
@@ -204,7 +240,7 @@
                 };
                 self.query_member(now, id, &member, command, actions);
             }
-            if let Some(primary) = primary {
+            if let Some(primary) = stepping_down {
                 let command = MemberCommand::StepDown(next_term);
                 self.query_member(now, id, &primary, command, actions);
             }
--- a/crates/pool/tests/repeated_promotions.rs
+++ b/crates/pool/tests/repeated_promotions.rs
@@ -100,6 +100,25 @@
     assert_eq!(fake.requested_members(), ["m2"]);
 }
 
+/// Guards against promoting a member that has lost its log since the promotion was recorded.
+#[test]
+fn promotion_of_a_member_that_started_anew_is_not_repeated() {
+    let mut fake = FakeGroup::start(1);
+    let requested = RequestedPromotion {
+        member: "m2".into(),
+        ended_term: Term(1),
+        received: position(9),
+    };
+    let value = Some(ObjectValue::Fleet(record(Some(requested))));
+    fake.harness
+        .change_object(ObjectKind::Fleet, GROUP_RECORD, value);
+    fake.received.insert("m2", 0);
+    fake.down = vec![PRIMARY];
+    fake.write();
+    fake.run(4_000);
+    assert_eq!(fake.requested_members(), ["m3"]);
+}
+
 /// Guards against a promotion that the store does not know of, so that no other process can repeat it.
 #[test]
 fn promotion_is_recorded_before_it_is_requested() {
