--- a/crates/pool/tests/paused_replicas.rs
+++ b/crates/pool/tests/paused_replicas.rs
@@ -4,9 +4,6 @@
 mod support;
 
 use lycheedoor_core::types::Term;
-use lycheedoor_pool::FleetRecord;
-use lycheedoor_pool::ObjectKind;
-use lycheedoor_pool::ObjectValue;
 use support::PRIMARY;
 use support::fake_group::FakeGroup;
 use support::fake_group::Platform;
@@ -17,8 +14,7 @@
 fn replicas_are_not_left_paused_when_the_primary_is_back_before_a_promotion() {
     let mut fake = FakeGroup::start(1);
     fake.platform = Platform::Unavailable;
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     fake.run(2_000);
     assert_eq!(fake.harness.paused.len(), 2);
     fake.down.clear();
@@ -53,11 +49,7 @@
 #[test]
 fn pause_ends_although_a_former_member_may_have_confirmed_commits() {
     let mut fake = FakeGroup::start(1);
-    let holders = [PRIMARY, "m2", "m3", "m9"].map(|name| (name.into(), None));
-    let holders = FleetRecord::CommitHolders(holders.into());
-    let record = Some(ObjectValue::Fleet(holders));
-    fake.harness
-        .change_object(ObjectKind::Fleet, "holders.ledger-1", record);
+    fake.record_former_member();
     fake.run(1_000);
     for name in ["m2", "m3"] {
         fake.pause(name);
@@ -90,8 +82,7 @@
     // A promotion in which no commit followed: the logs do not show the term.
     fake.harness.term = Term(4);
     fake.platform = Platform::Unavailable;
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     for _ in 0..1_000 {
         fake.run(5);
         assert!(fake.requests.is_empty() || fake.harness.paused.len() == 2);
@@ -105,8 +96,7 @@
 fn member_whose_pause_has_ended_is_not_compared() {
     let mut fake = FakeGroup::start(1);
     fake.restarted = Some("m3");
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     fake.run(5_000);
     assert_eq!(fake.requests, []);
     assert!(fake.harness.paused.contains_key("m2"));
--- a/crates/pool/tests/repeated_promotions.rs
+++ b/crates/pool/tests/repeated_promotions.rs
@@ -38,8 +38,7 @@
 fn promotion_without_an_answer_is_repeated_for_the_same_member() {
     let mut fake = FakeGroup::start(1);
     fake.platform = Platform::Unavailable;
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     fake.run(1_500);
     assert_eq!(fake.requested_members()[0], "m2");
     // The other replica would be preferred now.
@@ -65,12 +64,9 @@
         ended_term: Term(1),
         received: position(9),
     };
-    let value = Some(ObjectValue::Fleet(record(Some(requested))));
-    fake.harness
-        .change_object(ObjectKind::Fleet, GROUP_RECORD, value);
+    fake.change_record(GROUP_RECORD, record(Some(requested)));
     fake.platform = Platform::Unavailable;
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     fake.run(4_000);
     let members = fake.requested_members();
     assert!(members.len() > 1 && members.iter().all(|name| *name == "m4"));
@@ -91,11 +87,8 @@
         ended_term: Term(0),
         received: position(9),
     };
-    let value = Some(ObjectValue::Fleet(record(Some(requested))));
-    fake.harness
-        .change_object(ObjectKind::Fleet, GROUP_RECORD, value);
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.change_record(GROUP_RECORD, record(Some(requested)));
+    fake.lose_primary();
     fake.run(3_000);
     assert_eq!(fake.requested_members(), ["m2"]);
 }
@@ -109,12 +102,9 @@
         ended_term: Term(1),
         received: position(9),
     };
-    let value = Some(ObjectValue::Fleet(record(Some(requested))));
-    fake.harness
-        .change_object(ObjectKind::Fleet, GROUP_RECORD, value);
+    fake.change_record(GROUP_RECORD, record(Some(requested)));
     fake.received.insert("m2", 0);
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     fake.run(4_000);
     assert_eq!(fake.requested_members(), ["m3"]);
 }
@@ -123,8 +113,7 @@
 #[test]
 fn promotion_is_recorded_before_it_is_requested() {
     let mut fake = FakeGroup::start(1);
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     let mut recorded = None;
     for _ in 0..600 {
         fake.harness.advance(5);
@@ -152,8 +141,7 @@
 #[test]
 fn promotion_is_recorded_with_the_term_that_it_ends() {
     let mut fake = FakeGroup::start(1);
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     while fake.record.is_none() {
         fake.run(5);
     }
@@ -174,8 +162,7 @@
 #[test]
 fn late_answer_to_a_claim_does_not_stand_for_the_record() {
     let mut fake = FakeGroup::start(1);
-    fake.down = vec![PRIMARY];
-    fake.write();
+    fake.lose_primary();
     let harness = &mut fake.harness;
     while claims(harness) == 0 {
         harness.advance(5);
@@ -201,23 +188,13 @@
 #[test]
 fn recorded_promotion_is_repeated_although_a_former_member_may_have_confirmed_commits() {
     let mut fake = FakeGroup::start(1);
-    let holders = [PRIMARY, "m2", "m3", "m9"].map(|name| (name.into(), None));
     let requested = RequestedPromotion {
         member: "m2".into(),
         ended_term: Term(1),
         received: position(9),
     };
-    let records = [
-        (
-            "holders.ledger-1",
-            FleetRecord::CommitHolders(holders.into()),
-        ),
-        (GROUP_RECORD, record(Some(requested))),
-    ];
-    for (name, record) in records {
-        let record = Some(ObjectValue::Fleet(record));
-        fake.harness.change_object(ObjectKind::Fleet, name, record);
-    }
+    fake.record_former_member();
+    fake.change_record(GROUP_RECORD, record(Some(requested)));
     fake.run(1_000);
     for name in ["m2", "m3"] {
         fake.pause(name);
--- a/crates/pool/tests/support/fake_group.rs
+++ b/crates/pool/tests/support/fake_group.rs
@@ -115,6 +115,25 @@
         self.harness.paused.insert(member.to_owned(), term);
     }
 
+    /// Lets the store change a record of the fleet.
+    pub(crate) fn change_record(&mut self, name: &str, record: FleetRecord) {
+        let record = Some(ObjectValue::Fleet(record));
+        self.harness.change_object(ObjectKind::Fleet, name, record);
+    }
+
+    /// Records a member that is gone and may have confirmed commits, beside those that are registered.
+    pub(crate) fn record_former_member(&mut self) {
+        let holders = [PRIMARY, "m2", "m3", "m9"].map(|name| (name.into(), None));
+        let holders = FleetRecord::CommitHolders(holders.into());
+        self.change_record("holders.ledger-1", holders);
+    }
+
+    /// Takes the primary down and lets a caller notice it.
+    pub(crate) fn lose_primary(&mut self) {
+        self.down = vec![PRIMARY];
+        self.write();
+    }
+
     /// Lets a caller send a write, which detects that a member is down or not the primary.
     pub(crate) fn write(&mut self) {
         let caller = self.harness.open_session("primary-db");
